Prove that a job told not run never starts later from a stale copy

The forwarding entry fell back, claimed the job itself, found no open worker, gave the claim back and answered NOT_RUN. When the owner woke it read the old message, claimed the released key and started the tasks. Ruled out: the agents (each task started once) and the fold of the log.

Change: every message that hands a job on carries a nonce of its own, under which alone its receiver may claim. An entry that answers NOT_RUN releases every nonce under which a copy of the job may still be claimed, stale ones first, its own claim last. Without a claim of its own, and with a copy at large, it answers MAY_HAVE_RUN.

--- a/src/main/java/org/gypsumflow/control/OperationsDesk.java
+++ b/src/main/java/org/gypsumflow/control/OperationsDesk.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.gypsumflow.command.OperationRecord;
 import org.gypsumflow.command.OperationRecord.PlanConfirmed;
 import org.gypsumflow.command.OperationRecord.PlanMade;
@@ -33,7 +33,6 @@
     private static final Duration CONFIRM_LIMIT = Duration.ofSeconds(10);
     private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
     private static final Duration REACH_MARGIN = Duration.ofSeconds(1);
-    private static final int PLAN_ID_LENGTH = 8;
 
     /** Name of the step that says that a plan's change holds everywhere. */
     public static final String IN_FORCE = "in force";
@@ -43,6 +42,7 @@
     private final TimeSource time;
     private final ControlSettings settings;
     private final TypedLog<OperationRecord> log;
+    private final RandomGenerator random;
     private final EventLog events;
     private final Set<PlanId> reporting = new HashSet<>();
     private boolean repeating;
@@ -54,12 +54,14 @@
             TimeSource time,
             ControlSettings settings,
             TypedLog<OperationRecord> log,
+            RandomGenerator random,
             EventLog events) {
         this.control = control;
         this.lane = lane;
         this.time = time;
         this.settings = settings;
         this.log = log;
+        this.random = random;
         this.events = events;
     }
 
@@ -71,6 +73,7 @@
      * @param time clocks
      * @param settings times
      * @param log stream of plans and confirmations
+     * @param random source of names of plans
      * @param events receives numbered events
      * @return the desk
      */
@@ -80,8 +83,9 @@
             TimeSource time,
             ControlSettings settings,
             TypedLog<OperationRecord> log,
+            RandomGenerator random,
             EventLog events) {
-        return new OperationsDesk(control, lane, time, settings, log, events);
+        return new OperationsDesk(control, lane, time, settings, log, random, events);
     }
 
     /** Starts to report steps of accepted plans and to repeat the state before the log forgets it. */
@@ -139,7 +143,7 @@
 
     private CompletableFuture<Plan> record(String intent, Operator operator) {
         EntrySnapshot snapshot = control.snapshot();
-        PlanId id = PlanId.of(UUID.randomUUID().toString().substring(0, PLAN_ID_LENGTH));
+        PlanId id = PlanId.of(randomText());
         Plan plan;
         try {
             plan = Planner.make(
@@ -157,6 +161,10 @@
                 });
     }
 
+    private String randomText() {
+        return String.format("%08x", random.nextInt());
+    }
+
     private static List<WorkerFact> facts(EntrySnapshot snapshot) {
         return snapshot.workers().values().stream()
                 .filter(view -> !view.leaving())
@@ -170,8 +178,7 @@
             answer.completeExceptionally(refusal.get().toException());
             return;
         }
-        PlanConfirmed confirmation =
-                new PlanConfirmed(id, operator, UUID.randomUUID().toString(), override, time.millis());
+        PlanConfirmed confirmation = new PlanConfirmed(id, operator, randomText(), override, time.millis());
         append(confirmation, time.nanos() + CONFIRM_LIMIT.toNanos(), answer);
     }
 
--- a/src/main/java/org/gypsumflow/model/ClaimNonce.java
+++ b/src/main/java/org/gypsumflow/model/ClaimNonce.java
@@ -1,7 +1,7 @@
 package org.gypsumflow.model;
 
 /**
- * Tells one claim from another; two log records with one nonce are one claim.
+ * Tells one claim from another; two log records with one nonce are one claim, and only one entry ever uses it.
  *
  * @param high upper 64 random bits
  * @param low lower 64 random bits
--- a/src/main/java/org/gypsumflow/model/CommandMessage.java
+++ b/src/main/java/org/gypsumflow/model/CommandMessage.java
@@ -83,9 +83,11 @@
      *
      * @param request number that the answer repeats
      * @param job the job, with the time that is left as its timeout
+     * @param nonce what the receiver claims under; the sender uses it for this message only
      * @param trace trace context of the sender
      */
-    record ForwardJob(RequestId request, JobRequest job, TraceParent trace) implements CommandMessage {}
+    record ForwardJob(RequestId request, JobRequest job, ClaimNonce nonce, TraceParent trace)
+            implements CommandMessage {}
 
     /**
      * Cancels the tasks of a job that have not started.
--- a/src/main/java/org/gypsumflow/traffic/ClaimStream.java
+++ b/src/main/java/org/gypsumflow/traffic/ClaimStream.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.random.RandomGenerator;
 import org.gypsumflow.command.AppendBudget;
 import org.gypsumflow.command.ClaimLedger;
 import org.gypsumflow.command.ClaimRecord;
@@ -43,7 +42,6 @@
     private final TimeSource time;
     private final TrafficSettings settings;
     private final AppendBudget budget;
-    private final RandomGenerator random;
     private final ClaimLedger ledger;
     private final Map<ClaimNonce, Pending> pending = new LinkedHashMap<>();
     private final Map<ClaimNonce, Released> releases = new LinkedHashMap<>();
@@ -66,15 +64,13 @@
             Lane lane,
             TimeSource time,
             TrafficSettings settings,
-            AppendBudget budget,
-            RandomGenerator random) {
+            AppendBudget budget) {
         this.log = log;
         this.self = self;
         this.lane = lane;
         this.time = time;
         this.settings = settings;
         this.budget = budget;
-        this.random = random;
         this.ledger = ClaimLedger.create(settings.dedupeWindow());
     }
 
@@ -84,9 +80,8 @@
             Lane lane,
             TimeSource time,
             TrafficSettings settings,
-            AppendBudget budget,
-            RandomGenerator random) {
-        return new ClaimStream(log, self, lane, time, settings, budget, random);
+            AppendBudget budget) {
+        return new ClaimStream(log, self, lane, time, settings, budget);
     }
 
     /** Tells whether so many claims wait that another one must be refused. */
@@ -99,20 +94,20 @@
      *
      * <p>Where the ledger knows a winner the stream is read on first, since the winner may have given its claim back.
      */
-    CompletableFuture<ClaimResult> claim(SubmissionDigest submission, long fingerprint, int size, long deadlineNanos) {
+    CompletableFuture<ClaimResult> claim(Claimed wanted, long deadlineNanos) {
         CompletableFuture<ClaimResult> result = new CompletableFuture<>();
-        if (ledger.winner(submission).isEmpty()) {
-            enqueue(submission, fingerprint, size, deadlineNanos, result);
+        if (ledger.winner(wanted.submission()).isEmpty()) {
+            enqueue(wanted, deadlineNanos, result);
             return result;
         }
         readToHead().whenComplete((nothing, failure) -> {
-            Optional<Claimed> winner = ledger.winner(submission);
+            Optional<Claimed> winner = ledger.winner(wanted.submission());
             if (winner.isPresent() && !isForsworn(winner.get())) {
                 result.complete(new ClaimResult.Lost(winner.get()));
                 return;
             }
-            winner.ifPresent(old -> release(submission, old.nonce()));
-            enqueue(submission, fingerprint, size, deadlineNanos, result);
+            winner.ifPresent(old -> release(wanted.submission(), old.nonce()));
+            enqueue(wanted, deadlineNanos, result);
         });
         return result;
     }
@@ -124,16 +119,9 @@
         pump();
     }
 
-    private void enqueue(
-            SubmissionDigest submission,
-            long fingerprint,
-            int size,
-            long deadlineNanos,
-            CompletableFuture<ClaimResult> result) {
-        ClaimNonce nonce = ClaimNonce.of(random.nextLong(), random.nextLong());
-        Claimed claim = new Claimed(submission, fingerprint, size, self, nonce);
-        Pending waiting = new Pending(claim, result);
-        pending.put(nonce, waiting);
+    private void enqueue(Claimed wanted, long deadlineNanos, CompletableFuture<ClaimResult> result) {
+        Pending waiting = new Pending(wanted, result);
+        pending.put(wanted.nonce(), waiting);
         lane.after(Duration.ofNanos(Math.max(0, deadlineNanos - time.nanos())), () -> abandon(waiting));
         pump();
     }
@@ -240,6 +228,11 @@
         if (waiting == null) {
             return true;
         }
+        if (ledger.isReleased(claim.nonce())) {
+            pending.remove(claim.nonce());
+            waiting.result().complete(new ClaimResult.Abandoned("the request was given up by the entry that sent it"));
+            return true;
+        }
         Optional<Claimed> winner = ledger.winner(claim.submission());
         if (winner.isEmpty()) {
             return false;
--- a/src/main/java/org/gypsumflow/traffic/EntryNode.java
+++ b/src/main/java/org/gypsumflow/traffic/EntryNode.java
@@ -21,6 +21,7 @@
 import org.gypsumflow.control.OperationsDesk;
 import org.gypsumflow.model.Caller;
 import org.gypsumflow.model.Check;
+import org.gypsumflow.model.ClaimNonce;
 import org.gypsumflow.model.CommandMessage.CancelJob;
 import org.gypsumflow.model.CommandMessage.ForwardJob;
 import org.gypsumflow.model.EntryAddress;
@@ -90,7 +91,13 @@
                 new Listener(),
                 ports.events());
         this.operations = OperationsDesk.create(
-                control, lanes.control(), ports.time(), controlSettings, ports.operationsLog(), ports.events());
+                control,
+                lanes.control(),
+                ports.time(),
+                controlSettings,
+                ports.operationsLog(),
+                ports.random(),
+                ports.events());
         this.tickets = Tickets.create(self.incarnation(), ports.time(), settings.ticketLife());
         EntryContext context = new EntryContext(
                 self.incarnation(),
@@ -165,7 +172,7 @@
      * @return the whole answer, or a {@link org.gypsumflow.model.RefusalException}; it completes on any thread
      */
     public CompletableFuture<JobOutcome> submit(JobRequest job, TraceParent trace) {
-        return submit(job, trace, false);
+        return submit(job, trace, Optional.empty());
     }
 
     /**
@@ -250,7 +257,7 @@
         if (message instanceof TaskReport report) {
             shardOf(report.task().submission()).reported(report);
         } else if (message instanceof ForwardJob forward) {
-            submit(forward.job(), forward.trace(), true)
+            submit(forward.job(), forward.trace(), Optional.of(forward.nonce()))
                     .whenComplete(
                             (outcome, failure) -> link.send(Submissions.answer(forward.request(), outcome, failure)));
         } else if (message instanceof CancelJob cancel) {
@@ -271,8 +278,8 @@
         control.closed(link);
     }
 
-    private CompletableFuture<JobOutcome> submit(JobRequest job, TraceParent trace, boolean forwarded) {
-        Tracing.Hop hop = ports.tracing().begin(forwarded ? "forward" : "entry", trace);
+    private CompletableFuture<JobOutcome> submit(JobRequest job, TraceParent trace, Optional<ClaimNonce> forwarded) {
+        Tracing.Hop hop = ports.tracing().begin(forwarded.isPresent() ? "forward" : "entry", trace);
         return shardOf(job.key().digest())
                 .submit(job, hop.context(), forwarded)
                 .whenComplete(
@@ -319,8 +326,7 @@
                                 lane,
                                 ports.time(),
                                 settings,
-                                budget,
-                                ports.random())));
+                                budget)));
     }
 
     private Submissions shardOf(SubmissionDigest digest) {
--- a/src/main/java/org/gypsumflow/traffic/Submissions.java
+++ b/src/main/java/org/gypsumflow/traffic/Submissions.java
@@ -4,8 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.gypsumflow.command.ClaimRecord.Claimed;
@@ -52,6 +54,9 @@
         private final long deadlineNanos;
         private final TraceParent trace;
         private final CompletableFuture<JobOutcome> result = new CompletableFuture<>();
+        private final Set<ClaimNonce> nonces = new LinkedHashSet<>();
+        private Optional<ClaimNonce> received = Optional.empty();
+        private int unansweredForwards;
         private ClaimNonce claim;
         private JobFlight flight;
         private long endedNanos;
@@ -87,8 +92,8 @@
         return new Submissions(context, lane, streams);
     }
 
-    /** Answers a job; {@code forwarded} says that another entry sent it here. */
-    CompletableFuture<JobOutcome> submit(JobRequest job, TraceParent trace, boolean forwarded) {
+    /** Answers a job; {@code forwarded} is what to claim under if another entry sent it here. */
+    CompletableFuture<JobOutcome> submit(JobRequest job, TraceParent trace, Optional<ClaimNonce> forwarded) {
         CompletableFuture<JobOutcome> answer = new CompletableFuture<>();
         lane.execute(() -> submitOnLane(job, trace, forwarded).whenComplete((outcome, failure) -> {
             if (failure != null) {
@@ -149,10 +154,12 @@
                 submission.job.size());
     }
 
-    private CompletableFuture<JobOutcome> submitOnLane(JobRequest job, TraceParent trace, boolean forwarded) {
+    private CompletableFuture<JobOutcome> submitOnLane(
+            JobRequest job, TraceParent trace, Optional<ClaimNonce> forwarded) {
         forgetOld();
         Submission known = submissions.get(job.key().digest());
         if (known != null) {
+            forwarded.ifPresent(known.nonces::add);
             return attach(known, job);
         }
         long deadline = context.time().nanos() + job.timeout().toNanos();
@@ -161,7 +168,9 @@
         context.submissionOpened();
         submission.result.whenComplete((outcome, failure) -> ended(submission, outcome));
         lane.after(job.timeout().plus(DEADLINE_GRACE), () -> timeOut(submission));
-        begin(submission, forwarded);
+        forwarded.ifPresent(submission.nonces::add);
+        submission.received = forwarded;
+        begin(submission, forwarded.isPresent());
         return submission.result;
     }
 
@@ -240,11 +249,25 @@
             return;
         }
         Tracing.Hop hop = context.tracing().begin("claim", submission.trace);
-        stream.claim(submission.digest, submission.job.fingerprint(), submission.job.size(), submission.deadlineNanos)
-                .thenAccept(result -> {
-                    hop.end(result instanceof ClaimResult.Won ? Verdict.COMPLETED : Verdict.NOT_RUN);
-                    claimed(submission, result);
-                });
+        stream.claim(wanted(submission), submission.deadlineNanos).thenAccept(result -> {
+            hop.end(result instanceof ClaimResult.Won ? Verdict.COMPLETED : Verdict.NOT_RUN);
+            claimed(submission, result);
+        });
+    }
+
+    /** A claim made for another entry uses the nonce that came with the job, any other claim a fresh one. */
+    private Claimed wanted(Submission submission) {
+        ClaimNonce nonce = submission.received.orElseGet(() -> freshNonce(submission));
+        submission.received = Optional.empty();
+        JobRequest job = submission.job;
+        return new Claimed(submission.digest, job.fingerprint(), job.size(), context.self(), nonce);
+    }
+
+    private ClaimNonce freshNonce(Submission submission) {
+        ClaimNonce nonce =
+                ClaimNonce.of(context.random().nextLong(), context.random().nextLong());
+        submission.nonces.add(nonce);
+        return nonce;
     }
 
     private void claimed(Submission submission, ClaimResult result) {
@@ -302,17 +325,22 @@
         }
         JobRequest job = submission.job;
         JobRequest remaining = JobRequest.of(job.key(), job.service(), job.payloads(), left);
+        ClaimNonce nonce = freshNonce(submission);
+        submission.unansweredForwards++;
         context.requests()
                 .ask(
                         link,
                         lane,
                         left.plus(DEADLINE_GRACE),
-                        request -> new ForwardJob(request, remaining, submission.trace))
+                        request -> new ForwardJob(request, remaining, nonce, submission.trace))
                 .whenComplete(
                         (answer, failure) -> lane.execute(() -> forwarded(submission, answer, failure, otherwise)));
     }
 
     private void forwarded(Submission submission, Message answer, Throwable failure, Runnable otherwise) {
+        if (failure == null) {
+            submission.unansweredForwards--;
+        }
         if (submission.result.isDone()) {
             return;
         }
@@ -321,7 +349,7 @@
         if (failure != null || passedOn) {
             otherwise.run();
         } else if (answer instanceof JobReport report) {
-            submission.result.complete(report.outcome());
+            reported(submission, report.outcome());
         } else if (answer instanceof JobRefused refused) {
             refuse(submission, refused.refusal());
         }
@@ -400,8 +428,22 @@
         refuse(submission, refusal);
     }
 
+    /** Passes on the answer of another entry. */
+    private static void reported(Submission submission, JobOutcome outcome) {
+        if (outcome.verdict() == Verdict.NOT_RUN && submission.unansweredForwards > 0) {
+            refuse(submission, Refusal.notRun(ErrorCode.HOLDER_LOST, outcome.reason()));
+            return;
+        }
+        submission.result.complete(outcome);
+    }
+
+    /** Refuses a submission; while a copy of it may still arrive at another entry, "not run" is no proof. */
     private static void refuse(Submission submission, Refusal refusal) {
-        submission.result.completeExceptionally(refusal.toException());
+        boolean copyAtLarge = submission.unansweredForwards > 0 && submission.claim == null;
+        Refusal proven = refusal.verdict() == Verdict.NOT_RUN && copyAtLarge
+                ? Refusal.mayHaveRun(refusal.code(), refusal.message() + STARTED_NOTHING)
+                : refusal;
+        submission.result.completeExceptionally(proven.toException());
     }
 
     private static Refusal keyReused(JobRequest job) {
@@ -420,12 +462,19 @@
         }
         submissions.remove(submission.digest);
         if (submission.claim != null) {
-            streams.apply(Ownership.streamOf(
-                            submission.digest, context.settings().claimStreams()))
-                    .release(submission.digest, submission.claim);
+            release(submission);
         }
     }
 
+    /** Gives the claim back, but first everything under which a copy of the job could still be claimed. */
+    private void release(Submission submission) {
+        ClaimStream stream = streams.apply(
+                Ownership.streamOf(submission.digest, context.settings().claimStreams()));
+        submission.nonces.remove(submission.claim);
+        submission.nonces.forEach(nonce -> stream.release(submission.digest, nonce));
+        stream.release(submission.digest, submission.claim);
+    }
+
     private void retain(Submission submission, JobOutcome outcome) {
         submission.endedNanos = context.time().nanos();
         ended.addLast(submission);
--- a/src/main/java/org/gypsumflow/wire/CommandCodec.java
+++ b/src/main/java/org/gypsumflow/wire/CommandCodec.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.Caller;
+import org.gypsumflow.model.ClaimNonce;
 import org.gypsumflow.model.CommandMessage;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
@@ -163,6 +164,8 @@
                 .setService(job.service().value())
                 .addAllPayloads(job.payloads())
                 .setTimeoutMillis(job.timeout().toMillis())
+                .setNonceHigh(forward.nonce().high())
+                .setNonceLow(forward.nonce().low())
                 .setTraceParent(forward.trace().value());
     }
 
@@ -172,6 +175,10 @@
                 ServiceName.of(part.getService()),
                 part.getPayloadsList(),
                 Duration.ofMillis(part.getTimeoutMillis()));
-        return new ForwardJob(RequestId.of(part.getRequest()), job, TraceParent.of(part.getTraceParent()));
+        return new ForwardJob(
+                RequestId.of(part.getRequest()),
+                job,
+                ClaimNonce.of(part.getNonceHigh(), part.getNonceLow()),
+                TraceParent.of(part.getTraceParent()));
     }
 }
--- /dev/null
+++ b/src/test/java/org/gypsumflow/world/FakeNetwork.java
@@ -0,0 +1,184 @@
+package org.gypsumflow.world;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.control.Dialer;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.control.LinkListener;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.Message;
+
+/** Connections between processes: in order while they live, silent or broken when told so. */
+final class FakeNetwork {
+    private static final int MOST_LATENCY_MICROS = 1500;
+    private static final int LEAST_LATENCY_MICROS = 300;
+
+    private record Listening(FakeProcess process, LinkListener listener) {}
+
+    /** One connection; each end is a link. */
+    private final class Connection {
+        private final End dialed;
+        private final End accepted;
+        private boolean open = true;
+
+        private Connection(FakeProcess from, LinkListener fromListener, Listening to) {
+            this.dialed = new End(this, from, fromListener);
+            this.accepted = new End(this, to.process(), to.listener());
+        }
+
+        private End other(End end) {
+            return end.equals(dialed) ? accepted : dialed;
+        }
+
+        private boolean joins(FakeProcess left, FakeProcess right) {
+            return (dialed.process == left && accepted.process == right)
+                    || (dialed.process == right && accepted.process == left);
+        }
+    }
+
+    private final class End implements Link {
+        private final Connection connection;
+        private final FakeProcess process;
+        private final LinkListener listener;
+        private final int number = endCounter++;
+        private boolean silent;
+        private long lastArrivalNanos;
+
+        private End(Connection connection, FakeProcess process, LinkListener listener) {
+            this.connection = connection;
+            this.process = process;
+            this.listener = listener;
+        }
+
+        @Override
+        public void send(Message message) {
+            if (!connection.open || silent || isCut(process, connection.other(this).process)) {
+                return;
+            }
+            End peer = connection.other(this);
+            long arrival = Math.max(lastArrivalNanos, clock.nanos() + latency().toNanos());
+            lastArrivalNanos = arrival;
+            clock.after(Duration.ofNanos(arrival - clock.nanos()), () -> {
+                if (connection.open) {
+                    peer.process.run(() -> peer.listener.received(peer, message));
+                }
+            });
+        }
+
+        @Override
+        public void close() {
+            if (!connection.open) {
+                return;
+            }
+            connection.open = false;
+            process.run(() -> listener.closed(this));
+            End peer = connection.other(this);
+            if (!silent) {
+                clock.after(latency(), () -> peer.process.run(() -> peer.listener.closed(peer)));
+            }
+        }
+
+        @Override
+        public int hashCode() {
+            return number;
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return this == other;
+        }
+    }
+
+    private final VirtualClock clock;
+    private final Random random;
+    private final Map<Incarnation, Listening> listening = new HashMap<>();
+    private final List<Connection> connections = new ArrayList<>();
+    private final Set<String> cuts = new HashSet<>();
+    private int endCounter;
+
+    FakeNetwork(VirtualClock clock, Random random) {
+        this.clock = clock;
+        this.random = random;
+    }
+
+    void listen(Incarnation address, FakeProcess process, LinkListener listener) {
+        listening.put(address, new Listening(process, listener));
+    }
+
+    Dialer dialerOf(FakeProcess process) {
+        return (address, listener) -> {
+            CompletableFuture<Link> dialed = new CompletableFuture<>();
+            Listening target = listening.get(address.incarnation());
+            clock.after(
+                    latency().multipliedBy(2),
+                    () -> process.run(() -> {
+                        if (target == null || target.process().isDead() || isCut(process, target.process())) {
+                            dialed.completeExceptionally(new IllegalStateException("connection refused"));
+                            return;
+                        }
+                        Connection connection = new Connection(process, listener, target);
+                        connections.add(connection);
+                        dialed.complete(connection.dialed);
+                    }));
+            return dialed;
+        };
+    }
+
+    /** Drops everything between two processes until healed; connections stay open and silent. */
+    void cut(FakeProcess left, FakeProcess right) {
+        cuts.add(pair(left, right));
+    }
+
+    void heal(FakeProcess left, FakeProcess right) {
+        cuts.remove(pair(left, right));
+    }
+
+    /** Makes the present connections between two processes silent for good, in one or both directions. */
+    void silence(FakeProcess left, FakeProcess right, boolean bothDirections) {
+        for (Connection connection : connections) {
+            if (connection.open && connection.joins(left, right)) {
+                connection.dialed.silent = true;
+                connection.accepted.silent |= bothDirections;
+            }
+        }
+    }
+
+    /** Ends the connections of a dead process; {@code noticed} says whether the others hear of it. */
+    void dropAll(FakeProcess process, boolean noticed) {
+        for (Connection connection : List.copyOf(connections)) {
+            boolean concerned = connection.dialed.process == process || connection.accepted.process == process;
+            if (!concerned) {
+                continue;
+            }
+            if (noticed) {
+                connection.dialed.close();
+            } else {
+                connection.dialed.silent = true;
+                connection.accepted.silent = true;
+            }
+        }
+        connections.removeIf(connection -> !connection.open);
+    }
+
+    private boolean isCut(FakeProcess left, FakeProcess right) {
+        return cuts.contains(pair(left, right));
+    }
+
+    private static String pair(FakeProcess left, FakeProcess right) {
+        return left.name().compareTo(right.name()) < 0
+                ? left.name() + "|" + right.name()
+                : right.name() + "|" + left.name();
+    }
+
+    private Duration latency() {
+        int micros = LEAST_LATENCY_MICROS + random.nextInt(MOST_LATENCY_MICROS - LEAST_LATENCY_MICROS);
+        return Duration.ofNanos(micros * 1000L);
+    }
+}
