--- a/src/main/java/org/gypsumflow/control/OperationsDesk.java
+++ b/src/main/java/org/gypsumflow/control/OperationsDesk.java
@@ -158,7 +158,8 @@
                     }
                     events.write(Event.PLAN_MADE, id, operator, intent);
                     return plan;
-                });
+                })
+                .thenCompose(made -> control.refresh().handle((nothing, failure) -> made));
     }
 
     private String randomText() {
--- a/src/test/java/org/gypsumflow/world/FakeNetwork.java
+++ b/src/test/java/org/gypsumflow/world/FakeNetwork.java
@@ -27,6 +27,7 @@
         private final End dialed;
         private final End accepted;
         private boolean open = true;
+        private Duration slowed;
 
         private Connection(FakeProcess from, LinkListener fromListener, Listening to) {
             this.dialed = new End(this, from, fromListener);
@@ -49,6 +50,7 @@
         private final LinkListener listener;
         private final int number = endCounter++;
         private boolean silent;
+        private boolean sawClose;
         private long lastArrivalNanos;
 
         private End(Connection connection, FakeProcess process, LinkListener listener) {
@@ -63,25 +65,37 @@
                 return;
             }
             End peer = connection.other(this);
-            long arrival = Math.max(lastArrivalNanos, clock.nanos() + latency().toNanos());
-            lastArrivalNanos = arrival;
-            clock.after(Duration.ofNanos(arrival - clock.nanos()), () -> {
-                if (connection.open) {
+            arrive(() -> {
+                if (!peer.sawClose) {
                     peer.process.run(() -> peer.listener.received(peer, message));
                 }
             });
         }
 
+        /** What was sent before the connection closed still arrives, and in order. */
+        private void arrive(Runnable arrival) {
+            Duration delay = connection.slowed == null ? latency() : connection.slowed;
+            lastArrivalNanos = Math.max(lastArrivalNanos, clock.nanos() + delay.toNanos());
+            clock.after(Duration.ofNanos(lastArrivalNanos - clock.nanos()), arrival);
+        }
+
+        private void seeClose() {
+            if (!sawClose) {
+                sawClose = true;
+                listener.closed(this);
+            }
+        }
+
         @Override
         public void close() {
             if (!connection.open) {
                 return;
             }
             connection.open = false;
-            process.run(() -> listener.closed(this));
+            process.run(this::seeClose);
             End peer = connection.other(this);
             if (!silent) {
-                clock.after(latency(), () -> peer.process.run(() -> peer.listener.closed(peer)));
+                arrive(() -> peer.process.run(peer::seeClose));
             }
         }
 
@@ -150,6 +164,15 @@
         }
     }
 
+    /** Lets what is sent on the present connections between two processes arrive late. */
+    void slow(FakeProcess left, FakeProcess right, Duration delay) {
+        for (Connection connection : connections) {
+            if (connection.open && connection.joins(left, right)) {
+                connection.slowed = delay;
+            }
+        }
+    }
+
     /** Ends the connections of a dead process; {@code noticed} says whether the others hear of it. */
     void dropAll(FakeProcess process, boolean noticed) {
         for (Connection connection : List.copyOf(connections)) {
--- a/src/test/java/org/gypsumflow/world/RandomHistory.java
+++ b/src/test/java/org/gypsumflow/world/RandomHistory.java
@@ -30,6 +30,7 @@
         CUT_ENTRIES,
         CUT_AGENT,
         SILENCE_CONNECTION,
+        SLOW_CONNECTION,
         LOG_OUT,
         LOG_SLOW,
         LOG_LOSES_ANSWERS,
@@ -75,7 +76,7 @@
             world.startAgent("worker-" + index, ZONES[index % ZONES.length]);
         }
         world.run(Duration.ofSeconds(3));
-        int faults = 1 + random.nextInt(4);
+        int faults = 1 + random.nextInt(6);
         for (int index = 0; index < faults; index++) {
             Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
             world.clock.after(millis(FAULTY_TIME), () -> inject(fault));
@@ -173,6 +174,8 @@
             case CUT_ENTRIES -> cut(entry().process, entry().process);
             case CUT_AGENT -> cut(entry().process, agent().process);
             case SILENCE_CONNECTION -> world.network.silence(entry().process, agent().process, random.nextBoolean());
+            case SLOW_CONNECTION ->
+                world.network.slow(entry().process, agent().process, Duration.ofMillis(1000 + random.nextInt(9000)));
             case LOG_OUT -> during(() -> world.log.setOut(true), () -> world.log.setOut(false));
             case LOG_SLOW ->
                 during(
