Refuse what a paused entry finds waiting when it wakes

Cause: an entry that was paused reads, when it wakes, requests whose callers gave up long ago and may have been told NOT_RUN for the same key at another entry.

Change: the control thread notes a gap between its beats longer than the silence bound. Event 207 tells the operator.

--- a/src/main/java/org/gypsumflow/control/EntryControl.java
+++ b/src/main/java/org/gypsumflow/control/EntryControl.java
@@ -39,6 +39,8 @@
  * <p>All of it is touched on the control lane only. Everybody else reads {@link #snapshot()}.
  */
 public final class EntryControl implements LinkListener {
+    private static final Duration PAUSE_SUSPICION = Duration.ofSeconds(1);
+
     private final EntryAddress self;
     private final Lane lane;
     private final TimeSource time;
@@ -64,6 +66,8 @@
     private boolean leaving;
     private boolean stopped;
     private boolean polling;
+    private long lastBeatNanos;
+    private long usableFromNanos;
     private boolean logReachable = true;
     private long announcedNanos;
     private volatile EntrySnapshot snapshot;
@@ -90,6 +94,8 @@
         this.listener = listener;
         this.events = events;
         this.membership = Membership.create(settings.memberExpiry());
+        this.lastBeatNanos = time.nanos();
+        this.usableFromNanos = time.nanos();
         this.snapshot = buildSnapshot();
     }
 
@@ -337,6 +343,7 @@
         if (stopped) {
             return false;
         }
+        notePause();
         closeSilentLinks();
         dialPeers();
         sendToPeers();
@@ -347,6 +354,16 @@
         return true;
     }
 
+    /** After a pause the sockets still hold old requests; nothing new is trusted until they have been read. */
+    private void notePause() {
+        long now = time.nanos();
+        if (now - lastBeatNanos > settings.silence().toNanos()) {
+            usableFromNanos = now + PAUSE_SUSPICION.toNanos();
+            events.write(Event.PAUSED, Duration.ofNanos(now - lastBeatNanos).toMillis());
+        }
+        lastBeatNanos = now;
+    }
+
     private void closeSilentLinks() {
         long oldest = time.nanos() - settings.silence().toNanos();
         List<Link> silent = lastHeardNanos.entrySet().stream()
@@ -495,7 +512,9 @@
                 workers,
                 freshAgeMillis(),
                 caughtUp && !leaving,
-                leaving);
+                leaving,
+                usableFromNanos,
+                lastBeatNanos + settings.silence().toNanos());
     }
 
     private void publish() {
--- a/src/main/java/org/gypsumflow/control/EntrySnapshot.java
+++ b/src/main/java/org/gypsumflow/control/EntrySnapshot.java
@@ -25,6 +25,8 @@
  * @param configurationAgeMillis age of the last proof that the configuration is the newest, negative if there is none
  * @param ready true once the operations stream was read to its head and while this entry is not leaving
  * @param leaving true once this entry is leaving
+ * @param usableFromNanos monotonic time before which new work must not be trusted, since the process was paused
+ * @param usableUntilNanos monotonic time after which this snapshot is too old, since the process is or was paused
  */
 public record EntrySnapshot(
         EntryAddress self,
@@ -36,7 +38,9 @@
         Map<WorkerName, WorkerView> workers,
         long configurationAgeMillis,
         boolean ready,
-        boolean leaving) {
+        boolean leaving,
+        long usableFromNanos,
+        long usableUntilNanos) {
     /** Copies the collections. */
     public EntrySnapshot {
         entries = List.copyOf(entries);
@@ -44,6 +48,16 @@
         workers = Map.copyOf(workers);
     }
 
+    /**
+     * Tells whether the process has been running without a pause, so that what it reads now is not stale.
+     *
+     * @param nowNanos monotonic time
+     * @return true if new work may be taken
+     */
+    public boolean isAwake(long nowNanos) {
+        return nowNanos - usableFromNanos >= 0 && usableUntilNanos - nowNanos >= 0;
+    }
+
     /**
      * Tells whether an entry is in service and connected.
      *
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -18,6 +18,8 @@
     SILENT_CONNECTION(202, Level.WARN, "closed a connection that brought nothing for {} ms"),
     /** Another entry connected. */
     PEER_CONNECTED(203, Level.INFO, "connected to entry {}"),
+    /** The process was paused. */
+    PAUSED(207, Level.WARN, "this process was paused for {} ms"),
     /** The connection to another entry ended. */
     PEER_LOST(204, Level.WARN, "connection to entry {} ended"),
     /** The target beside an agent announced itself. */
--- a/src/main/java/org/gypsumflow/traffic/Submissions.java
+++ b/src/main/java/org/gypsumflow/traffic/Submissions.java
@@ -162,6 +162,11 @@
             forwarded.ifPresent(known.nonces::add);
             return attach(known, job);
         }
+        if (!context.snapshot().isAwake(context.time().nanos())) {
+            return CompletableFuture.failedFuture(Refusal.mayHaveRun(
+                            ErrorCode.LEAVING, "this entry was paused and the request may be old" + STARTED_NOTHING)
+                    .toException());
+        }
         long deadline = context.time().nanos() + job.timeout().toNanos();
         Submission submission = new Submission(job, deadline, trace);
         submissions.put(submission.digest, submission);
--- a/src/test/java/org/gypsumflow/world/CommandSteps.java
+++ b/src/test/java/org/gypsumflow/world/CommandSteps.java
@@ -142,6 +142,16 @@
         stage.world.entries.get(stage.tickets.get("paused entry")).process.resume();
     }
 
+    @When("entry {int} is paused")
+    public void pauseEntry(int entry) {
+        stage.entry(entry).process.pause();
+    }
+
+    @When("entry {int} wakes up")
+    public void wakeEntry(int entry) {
+        stage.entry(entry).process.resume();
+    }
+
     @When("entry {int} is killed")
     public void killEntry(int entry) {
         stage.world.kill(stage.entry(entry), true);
--- a/src/test/resources/scenarios/refusals.feature
+++ b/src/test/resources/scenarios/refusals.feature
@@ -48,3 +48,20 @@
     And 5 seconds pass
     Then every answer to "van" is FAILED
     And every promise holds
+
+  Scenario: An entry that was paused does not start what it finds waiting
+    Given 2 entries and 1 workers in each of "plovdiv"
+    When entry 1 is paused
+    And a caller submits "van" of 3 tasks at entry 1
+    And 10 seconds pass
+    And the target of worker "plovdiv-1" is leaving
+    And 2 seconds pass
+    And the caller resubmits "van" at entry 2
+    And 5 seconds pass
+    Then the last answer to "van" is NOT_RUN with NO_TARGET
+    When worker "plovdiv-1" restarts
+    And 3 seconds pass
+    And entry 1 wakes up
+    And 20 seconds pass
+    Then 0 tasks of "van" started
+    And every promise holds
