Measure what control costs and cut what it repeats

bin/bench control measures one entry and a number of agents in one process over loopback: processor time by thread name, bytes of encoded messages, heap after collection, while nothing runs.

--- /dev/null
+++ b/src/main/java/org/gypsumflow/bench/ControlCost.java
@@ -0,0 +1,283 @@
+package org.gypsumflow.bench;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gypsumflow.command.PlacementPolicy;
+import org.gypsumflow.control.AgentIdentity;
+import org.gypsumflow.control.AgentSettings;
+import org.gypsumflow.control.ControlSettings;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.control.LinkListener;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.daemon.Logs;
+import org.gypsumflow.daemon.ThreadLane;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.EntryAddress;
+import org.gypsumflow.model.EntryName;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.Message;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.Tracing;
+import org.gypsumflow.model.WorkerName;
+import org.gypsumflow.platform.HttpCaller;
+import org.gypsumflow.platform.HttpPlatformLog;
+import org.gypsumflow.platform.PlatformLog;
+import org.gypsumflow.standin.LogStandIn;
+import org.gypsumflow.traffic.AgentNode;
+import org.gypsumflow.traffic.AgentPorts;
+import org.gypsumflow.traffic.EntryLanes;
+import org.gypsumflow.traffic.EntryNode;
+import org.gypsumflow.traffic.EntryPorts;
+import org.gypsumflow.traffic.TrafficSettings;
+import org.gypsumflow.wire.MessageCodec;
+import org.gypsumflow.wire.NettyTransport;
+
+/**
+ * Measures what control costs an entry and its agents while nothing runs: processor time, bytes and memory.
+ *
+ * <p>One entry and a number of agents share this process, with real connections over loopback; the threads of each
+ * side are told apart by name.
+ */
+public final class ControlCost {
+    private static final int FRAME_HEADER_BYTES = 4;
+    private static final int AGENT_LANES = 4;
+    private static final int NETTY_THREADS = 2;
+    private static final int SLOTS = 8;
+    private static final int MOST_ENTRIES = 8;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int BYTES_PER_KILOBYTE = 1000;
+    private static final Duration SETTLE = Duration.ofSeconds(8);
+    private static final Duration MEASURE = Duration.ofSeconds(20);
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final AtomicLong bytesToAgents = new AtomicLong();
+    private final AtomicLong bytesToEntry = new AtomicLong();
+    private final TimeSource time = TimeSource.system();
+    private final LogStandIn log = LogStandIn.start(0, Duration.ofMillis(4), Duration.ofHours(1));
+    private final HttpCaller caller = HttpCaller.create();
+    private final PlatformLog platformLog = HttpPlatformLog.create(caller, log.url(), Duration.ofSeconds(2));
+
+    private ControlCost() {}
+
+    /**
+     * Measures for each number of agents and prints a table.
+     *
+     * @param arguments numbers of agents
+     */
+    public static void main(String[] arguments) {
+        System.out.println("agents  entry core %  entry kB/s  agent core %  agent kB/s  heap kB per agent");
+        for (String agents : arguments) {
+            new ControlCost().measure(Integer.parseInt(agents));
+        }
+        System.exit(0);
+    }
+
+    private void measure(int agents) {
+        pause(Duration.ofSeconds(1));
+        long heapBefore = heapBytes();
+        EntryNode entry = startEntry();
+        List<ThreadLane> lanes = new ArrayList<>();
+        for (int index = 0; index < AGENT_LANES; index++) {
+            lanes.add(keep(ThreadLane.create("agents-lane-" + index, EventLog.none())));
+        }
+        NettyTransport transport = keep(NettyTransport.create("agents-netty", NETTY_THREADS, EventLog.none()));
+        List<AgentNode> nodes = new ArrayList<>();
+        for (int index = 0; index < agents; index++) {
+            nodes.add(startAgent(index, lanes.get(index % AGENT_LANES), transport));
+        }
+        pause(SETTLE);
+        long connected = entry.snapshot().workers().size();
+        bytesToAgents.set(0);
+        bytesToEntry.set(0);
+        long entryBefore = cpuNanos("entry-");
+        long agentsBefore = cpuNanos("agents-");
+        long begin = System.nanoTime();
+        pause(MEASURE);
+        double seconds = (System.nanoTime() - begin) / NANOS_PER_SECOND;
+        double entryCore = (cpuNanos("entry-") - entryBefore) / NANOS_PER_SECOND / seconds;
+        double agentsCore = (cpuNanos("agents-") - agentsBefore) / NANOS_PER_SECOND / seconds;
+        double kilobytes = (double) (bytesToAgents.get() + bytesToEntry.get()) / BYTES_PER_KILOBYTE / seconds;
+        long heap = heapBytes() - heapBefore;
+        System.out.printf(
+                "%6d  %12.2f  %10.2f  %12.4f  %10.3f  %17.1f%n",
+                connected,
+                entryCore * 100,
+                kilobytes,
+                agentsCore * 100 / agents,
+                kilobytes / agents,
+                (double) heap / BYTES_PER_KILOBYTE / agents);
+        nodes.forEach(node -> node.control().stop());
+        entry.stop();
+        close();
+    }
+
+    private EntryNode startEntry() {
+        NettyTransport transport = keep(NettyTransport.create("entry-netty", NETTY_THREADS, EventLog.none()));
+        Late late = new Late();
+        int port = transport.listen("127.0.0.1", 0, late);
+        EntryAddress self = EntryAddress.of(
+                EntryName.of("entry"), Incarnation.fresh(), AvailabilityZone.of("plovdiv"), "127.0.0.1", port);
+        EntryLanes lanes = new EntryLanes(
+                keep(ThreadLane.create("entry-control", EventLog.none())),
+                keep(ThreadLane.create("entry-placement", EventLog.none())),
+                List.of(keep(ThreadLane.create("entry-jobs", EventLog.none()))));
+        EntryPorts ports = new EntryPorts(
+                time,
+                new Random(),
+                Logs.operations(platformLog),
+                Logs.members(platformLog),
+                stream -> Logs.claims(platformLog, stream),
+                transport::dial,
+                PlacementPolicy.twoChoices(),
+                EventLog.none(),
+                Tracing.none());
+        EntryNode node =
+                EntryNode.create(self, lanes, ControlSettings.defaults(), TrafficSettings.defaults(), ports);
+        late.node = node;
+        node.start();
+        return node;
+    }
+
+    private AgentNode startAgent(int index, ThreadLane lane, NettyTransport transport) {
+        AgentPorts ports = new AgentPorts(
+                time,
+                Logs.members(platformLog),
+                (address, listener) -> transport.dial(address, new Counting(listener)).thenApply(this::counted),
+                (task, payload, timeout, trace) -> new CompletableFuture<>(),
+                EventLog.none(),
+                Tracing.none());
+        AgentNode node = AgentNode.create(
+                new AgentIdentity(
+                        WorkerName.of("worker-" + index), Incarnation.fresh(), AvailabilityZone.of("plovdiv")),
+                lane,
+                lane,
+                ControlSettings.defaults(),
+                new AgentSettings(SLOTS, MOST_ENTRIES),
+                TrafficSettings.defaults().dedupeWindow(),
+                ports);
+        node.control().start(List.of());
+        node.control().targetAnnounced(ServiceName.of("bookings"));
+        return node;
+    }
+
+    private <T extends AutoCloseable> T keep(T resource) {
+        open.add(resource);
+        return resource;
+    }
+
+    private void close() {
+        open.add(caller);
+        open.add(log);
+        for (AutoCloseable each : open) {
+            try {
+                each.close();
+            } catch (Exception failure) {
+                System.err.println("could not close " + each + ": " + failure);
+            }
+        }
+    }
+
+    private static long cpuNanos(String prefix) {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long total = 0;
+        for (long id : threads.getAllThreadIds()) {
+            if (threads.getThreadInfo(id) != null
+                    && threads.getThreadInfo(id).getThreadName().startsWith(prefix)) {
+                total += Math.max(0, threads.getThreadCpuTime(id));
+            }
+        }
+        return total;
+    }
+
+    private static long heapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    private static void pause(Duration span) {
+        CompletableFuture.runAsync(
+                        () -> {}, CompletableFuture.delayedExecutor(span.toMillis(), TimeUnit.MILLISECONDS))
+                .join();
+    }
+
+    private static int size(Message message) {
+        return FRAME_HEADER_BYTES + MessageCodec.encode(message).getSerializedSize();
+    }
+
+    private Link counted(Link link) {
+        return new CountingLink(link);
+    }
+
+    /** Hands messages on once the entry exists. */
+    private static final class Late implements LinkListener {
+        private volatile EntryNode node;
+
+        @Override
+        public void received(Link link, Message message) {
+            node.received(link, message);
+        }
+
+        @Override
+        public void closed(Link link) {
+            node.closed(link);
+        }
+    }
+
+    /** Counts the bytes that an agent sends; equal to the link that it wraps. */
+    private final class CountingLink implements Link {
+        private final Link link;
+
+        private CountingLink(Link link) {
+            this.link = link;
+        }
+
+        @Override
+        public void send(Message message) {
+            bytesToEntry.addAndGet(size(message));
+            link.send(message);
+        }
+
+        @Override
+        public void close() {
+            link.close();
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof CountingLink counting && counting.link.equals(link);
+        }
+
+        @Override
+        public int hashCode() {
+            return link.hashCode();
+        }
+    }
+
+    /** Counts the bytes that an agent receives. */
+    private final class Counting implements LinkListener {
+        private final LinkListener listener;
+
+        private Counting(LinkListener listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public void received(Link link, Message message) {
+            bytesToAgents.addAndGet(size(message));
+            listener.received(new CountingLink(link), message);
+        }
+
+        @Override
+        public void closed(Link link) {
+            listener.closed(new CountingLink(link));
+        }
+    }
+}
--- a/src/main/java/org/gypsumflow/control/EntryControl.java
+++ b/src/main/java/org/gypsumflow/control/EntryControl.java
@@ -60,6 +60,8 @@
     private final Map<Incarnation, Boolean> peerLeaving = new HashMap<>();
     private final Set<Incarnation> dialing = new HashSet<>();
     private final Map<WorkerName, WorkerView> workers = new HashMap<>();
+    private final Map<Link, WorkerName> workerByLink = new HashMap<>();
+    private final Map<Link, List<EntryAddress>> entriesTold = new HashMap<>();
     private final Map<Link, Long> lastHeardNanos = new HashMap<>();
     private Configuration configuration = Configuration.EMPTY;
     private Version version = Version.NONE;
@@ -228,6 +230,8 @@
     public void closed(Link link) {
         lane.execute(() -> {
             lastHeardNanos.remove(link);
+            entriesTold.remove(link);
+            workerByLink.remove(link);
             peers.entrySet().removeIf(peer -> peer.getValue().equals(link) && peerLost(peer.getKey()));
             workers.values().removeIf(view -> view.link().equals(link) && agentLost(view.worker()));
             publish();
@@ -262,6 +266,7 @@
 
     private void agentAnnounced(Link link, AnnounceAgent agent) {
         WorkerView before = workers.get(agent.worker());
+        workerByLink.put(link, agent.worker());
         workers.put(
                 agent.worker(),
                 new WorkerView(
@@ -277,6 +282,7 @@
                         link));
         publish();
         if (before != null && !before.link().equals(link)) {
+            workerByLink.remove(before.link());
             before.link().close();
         }
         events.write(Event.AGENT_CONNECTED, agent.worker(), agent.incarnation());
@@ -284,30 +290,29 @@
     }
 
     private void agentBeat(Link link, AgentHeartbeat heartbeat) {
-        WorkerView before = workers.values().stream()
-                .filter(view -> view.link().equals(link))
-                .findFirst()
-                .orElse(null);
-        if (before == null) {
+        WorkerName worker = workerByLink.get(link);
+        if (worker == null) {
             return;
         }
+        WorkerView before = workers.get(worker);
         Optional<ServiceName> service =
                 heartbeat.service().isEmpty() ? Optional.empty() : Optional.of(ServiceName.of(heartbeat.service()));
-        workers.put(
+        WorkerView after = new WorkerView(
                 before.worker(),
-                new WorkerView(
-                        before.worker(),
-                        before.agent(),
-                        before.zone(),
-                        before.slots(),
-                        service,
-                        heartbeat.running(),
-                        heartbeat.credit(),
-                        heartbeat.version(),
-                        heartbeat.leaving(),
-                        link));
+                before.agent(),
+                before.zone(),
+                before.slots(),
+                service,
+                heartbeat.running(),
+                heartbeat.credit(),
+                heartbeat.version(),
+                heartbeat.leaving(),
+                link);
+        workers.put(before.worker(), after);
         answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version());
-        publish();
+        if (after.placesDifferently(before)) {
+            publish();
+        }
     }
 
     private void peerBeat(Link link, PeerHeartbeat heartbeat) {
@@ -321,7 +326,14 @@
         if (version.isAfter(theirs)) {
             link.send(new ApplyConfiguration(version, configuration));
         }
-        link.send(new HeartbeatReply(echo, version, freshAgeMillis(), waitingTasks.getAsInt(), inService(), leaving));
+        link.send(new HeartbeatReply(
+                echo, version, freshAgeMillis(), waitingTasks.getAsInt(), newEntriesFor(link), leaving));
+    }
+
+    /** Lists the entries in service if the other end has not been told of exactly these. */
+    private List<EntryAddress> newEntriesFor(Link link) {
+        List<EntryAddress> now = inService();
+        return now.equals(entriesTold.put(link, now)) ? List.of() : now;
     }
 
     private void peerReplied(Link link, HeartbeatReply reply) {
--- a/src/main/java/org/gypsumflow/control/WorkerView.java
+++ b/src/main/java/org/gypsumflow/control/WorkerView.java
@@ -31,4 +31,17 @@
         int credit,
         Version version,
         boolean leaving,
-        Link link) {}
+        Link link) {
+    /**
+     * Tells whether placement must hear of a change at once; the number of running tasks can wait.
+     *
+     * @param before what was known before of the same worker
+     * @return true if service, credit, version or leaving differ
+     */
+    boolean placesDifferently(WorkerView before) {
+        return !service.equals(before.service)
+                || credit != before.credit
+                || !version.equals(before.version)
+                || leaving != before.leaving;
+    }
+}
--- a/src/main/java/org/gypsumflow/daemon/AgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/AgentDaemon.java
@@ -45,7 +45,7 @@
     private AgentDaemon(DaemonSettings settings) {
         this.settings = settings;
         this.telemetry = Telemetry.create(settings);
-        this.transport = NettyTransport.create(NETTY_THREADS, telemetry.events());
+        this.transport = NettyTransport.create("netty", NETTY_THREADS, telemetry.events());
         this.targetCaller = HttpCaller.create(settings.connections());
         HttpTarget target = HttpTarget.create(targetCaller, telemetry.tracing());
         AgentIdentity self = new AgentIdentity(WorkerName.of(settings.name()), Incarnation.fresh(), settings.zone());
--- a/src/main/java/org/gypsumflow/daemon/EntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/EntryDaemon.java
@@ -45,7 +45,7 @@
     private EntryDaemon(DaemonSettings settings) {
         this.settings = settings;
         this.telemetry = Telemetry.create(settings);
-        this.transport = NettyTransport.create(NETTY_THREADS, telemetry.events());
+        this.transport = NettyTransport.create("netty", NETTY_THREADS, telemetry.events());
         Relay relay = new Relay();
         int port = transport.listen(settings.host(), settings.port(), relay);
         EntryAddress self = EntryAddress.of(
--- a/src/main/java/org/gypsumflow/daemon/Logs.java
+++ b/src/main/java/org/gypsumflow/daemon/Logs.java
@@ -11,18 +11,37 @@
 import org.gypsumflow.wire.RecordCodec;
 
 /** Puts types on the streams of the platform's log. */
-final class Logs {
+public final class Logs {
     private Logs() {}
 
-    static TypedLog<OperationRecord> operations(PlatformLog log) {
+    /**
+     * Opens the operations stream: plans, confirmations, steps, snapshots.
+     *
+     * @param log the log
+     * @return the typed stream
+     */
+    public static TypedLog<OperationRecord> operations(PlatformLog log) {
         return TypedLog.of(log, StreamName.OPERATIONS, OperationCodec::encode, OperationCodec::decode);
     }
 
-    static TypedLog<MemberRecord> members(PlatformLog log) {
+    /**
+     * Opens the members stream: announcements of entries.
+     *
+     * @param log the log
+     * @return the typed stream
+     */
+    public static TypedLog<MemberRecord> members(PlatformLog log) {
         return TypedLog.of(log, StreamName.MEMBERS, RecordCodec::encodeMember, RecordCodec::decodeMember);
     }
 
-    static TypedLog<List<ClaimRecord>> claims(PlatformLog log, StreamName stream) {
+    /**
+     * Opens a claim stream.
+     *
+     * @param log the log
+     * @param stream which one
+     * @return the typed stream
+     */
+    public static TypedLog<List<ClaimRecord>> claims(PlatformLog log, StreamName stream) {
         return TypedLog.of(log, stream, RecordCodec::encodeClaims, RecordCodec::decodeClaims);
     }
 }
--- a/src/main/java/org/gypsumflow/daemon/ThreadLane.java
+++ b/src/main/java/org/gypsumflow/daemon/ThreadLane.java
@@ -10,7 +10,7 @@
 import org.gypsumflow.model.EventLog;
 
 /** A lane on a thread of its own. */
-final class ThreadLane implements Lane, AutoCloseable {
+public final class ThreadLane implements Lane, AutoCloseable {
     private final ScheduledExecutorService thread;
     private final String name;
     private final EventLog events;
@@ -25,7 +25,14 @@
         });
     }
 
-    static ThreadLane create(String name, EventLog events) {
+    /**
+     * Starts the thread.
+     *
+     * @param name name of the thread
+     * @param events hears of actions that failed
+     * @return the lane
+     */
+    public static ThreadLane create(String name, EventLog events) {
         return new ThreadLane(name, events);
     }
 
--- a/src/main/java/org/gypsumflow/model/ReportMessage.java
+++ b/src/main/java/org/gypsumflow/model/ReportMessage.java
@@ -12,7 +12,7 @@
      * @param version version of the configuration that the answering entry knows
      * @param freshAgeMillis how long ago that version was known to be the newest, negative if that is not known
      * @param waiting number of tasks that wait at the entry for a slot
-     * @param entries entries that the answering entry believes to be alive, itself among them
+     * @param entries entries in service, the answering one among them; empty if nothing changed since the last answer
      * @param leaving true once the answering entry is leaving
      */
     record HeartbeatReply(
--- a/src/main/java/org/gypsumflow/wire/NettyTransport.java
+++ b/src/main/java/org/gypsumflow/wire/NettyTransport.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.control.Link;
@@ -37,20 +38,22 @@
     private final EventLoopGroup group;
     private final EventLog events;
 
-    private NettyTransport(int threads, EventLog events) {
-        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+    private NettyTransport(String name, int threads, EventLog events) {
+        this.group = new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
         this.events = events;
     }
 
     /**
      * Creates a transport.
      *
+     * @param name name of its threads
      * @param threads number of threads that read and write
      * @param events receives numbered events
      * @return the transport
      */
-    public static NettyTransport create(int threads, EventLog events) {
-        return new NettyTransport(threads, events);
+    public static NettyTransport create(String name, int threads, EventLog events) {
+        return new NettyTransport(name, threads, events);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/gypsumflow/wire/OperationCodecTest.java
@@ -0,0 +1,60 @@
+package org.gypsumflow.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import org.gypsumflow.command.Intent;
+import org.gypsumflow.command.OperationRecord;
+import org.gypsumflow.command.OperationRecord.PlanConfirmed;
+import org.gypsumflow.command.OperationRecord.PlanMade;
+import org.gypsumflow.command.OperationRecord.Snapshot;
+import org.gypsumflow.command.OperationRecord.StepReported;
+import org.gypsumflow.command.OperationsState;
+import org.gypsumflow.command.Plan;
+import org.gypsumflow.command.PlanState.Step;
+import org.gypsumflow.model.Operator;
+import org.gypsumflow.model.PlanId;
+import org.gypsumflow.model.Version;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class OperationCodecTest {
+    private static final Operator NIGHT = Operator.of("night");
+
+    private static PlanMade plan(String intent) {
+        PlanId id = PlanId.of("plan-" + Math.abs(intent.hashCode()));
+        return new PlanMade(new Plan(
+                id, intent, Intent.parse(intent), NIGHT, Version.of(4), 1, 2, List.of("step"), List.of("risk"), true));
+    }
+
+    @DataProvider
+    public static Object[][] intents() {
+        return new Object[][] {
+            {"drain sofia"}, {"open sofia"}, {"stop listings"}, {"start listings"}, {"quarantine worker-1"},
+            {"release worker-1"}, {"quota ruseva 80"}, {"rule outage go-on"},
+        };
+    }
+
+    @Test(dataProvider = "intents")
+    public void everyPlanIsReadAsItWasWritten(String intent) {
+        assertEquals(OperationCodec.decode(OperationCodec.encode(plan(intent))), plan(intent));
+    }
+
+    @Test
+    public void aSnapshotHoldsEverythingThatWasFolded() {
+        PlanMade made = plan("drain sofia");
+        PlanId id = made.plan().id();
+        OperationsState state = OperationsState.EMPTY
+                .fold(0, made)
+                .fold(1, new PlanConfirmed(id, NIGHT, "nonce", true, 1))
+                .fold(2, new StepReported(id, new Step("in force", 5, "all")));
+        OperationRecord snapshot = new Snapshot(state);
+        assertEquals(OperationCodec.decode(OperationCodec.encode(snapshot)), snapshot);
+    }
+
+    @Test
+    public void damagedBytesAreRefused() {
+        expectThrows(IllegalArgumentException.class, () -> OperationCodec.decode(new byte[] {1, 2, 3}));
+    }
+}
