Split the entry's control state and submissions into parts with one job each

Peers, agents and the following of the log are tables of their own now, as are one submission and the cache of answers.

--- a/src/main/java/org/gypsumflow/control/EntryControl.java
+++ b/src/main/java/org/gypsumflow/control/EntryControl.java
@@ -3,18 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
 import org.gypsumflow.command.Freshness;
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.command.Membership;
 import org.gypsumflow.command.OperationRecord;
-import org.gypsumflow.command.OperationsFollower;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
 import org.gypsumflow.model.CommandMessage.AnnounceEntry;
@@ -25,13 +21,9 @@
 import org.gypsumflow.model.EntryAddress;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
-import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.Message;
 import org.gypsumflow.model.ReportMessage.HeartbeatReply;
-import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.Version;
-import org.gypsumflow.model.WorkerName;
-import org.gypsumflow.platform.PlatformLog.Page;
 import org.gypsumflow.platform.TypedLog;
 
 /**
@@ -46,32 +38,24 @@
     private final Lane lane;
     private final TimeSource time;
     private final ControlSettings settings;
-    private final TypedLog<OperationRecord> operationsLog;
-    private final TypedLog<MemberRecord> membersLog;
     private final Dialer dialer;
     private final IntSupplier waitingTasks;
     private final EntryListener listener;
     private final EventLog events;
 
-    private final OperationsFollower follower = OperationsFollower.create();
     private final Freshness freshness = Freshness.create();
     private final Membership membership;
-    private final Map<Incarnation, Link> peers = new HashMap<>();
-    private final Map<Incarnation, Boolean> peerLeaving = new HashMap<>();
-    private final Set<Incarnation> dialing = new HashSet<>();
-    private final Map<WorkerName, WorkerView> workers = new HashMap<>();
-    private final Map<Link, WorkerName> workerByLink = new HashMap<>();
+    private final LogFollower log;
+    private final PeerTable peers;
+    private final AgentTable agents;
     private final Map<Link, List<EntryAddress>> entriesTold = new HashMap<>();
     private final Map<Link, Long> lastHeardNanos = new HashMap<>();
     private Configuration configuration = Configuration.EMPTY;
     private Version version = Version.NONE;
-    private boolean caughtUp;
     private boolean leaving;
     private boolean stopped;
-    private boolean polling;
     private long lastBeatNanos;
     private long usableFromNanos;
-    private boolean logReachable = true;
     private long announcedNanos;
     private volatile EntrySnapshot snapshot;
 
@@ -90,13 +74,14 @@
         this.lane = lane;
         this.time = time;
         this.settings = settings;
-        this.operationsLog = operationsLog;
-        this.membersLog = membersLog;
         this.dialer = dialer;
         this.waitingTasks = waitingTasks;
         this.listener = listener;
         this.events = events;
         this.membership = Membership.create(settings.memberExpiry());
+        this.log = LogFollower.create(lane, settings.logTimeout(), operationsLog, membersLog, membership, events);
+        this.peers = PeerTable.create(self, membership, events);
+        this.agents = AgentTable.create(events);
         this.lastBeatNanos = time.nanos();
         this.usableFromNanos = time.nanos();
         this.snapshot = buildSnapshot();
@@ -196,7 +181,7 @@
     public void demandChanged() {
         lane.execute(() -> {
             ReportDemand demand = new ReportDemand(waitingTasks.getAsInt());
-            workers.values().forEach(view -> view.link().send(demand));
+            agents.workers().values().forEach(view -> view.link().send(demand));
         });
     }
 
@@ -215,7 +200,7 @@
      * @return the log's clock, in milliseconds since the epoch; 0 if never
      */
     long snapshotLoggedAtMillis() {
-        return follower.snapshotLoggedAtMillis();
+        return log.snapshotLoggedAtMillis();
     }
 
     @Override
@@ -231,23 +216,12 @@
         lane.execute(() -> {
             lastHeardNanos.remove(link);
             entriesTold.remove(link);
-            workerByLink.remove(link);
-            peers.entrySet().removeIf(peer -> peer.getValue().equals(link) && peerLost(peer.getKey()));
-            workers.values().removeIf(view -> view.link().equals(link) && agentLost(view.worker()));
+            peers.closed(link);
+            agents.closed(link);
             publish();
         });
     }
 
-    private boolean peerLost(Incarnation peer) {
-        events.write(Event.PEER_LOST, peer);
-        return true;
-    }
-
-    private boolean agentLost(WorkerName worker) {
-        events.write(Event.AGENT_LOST, worker);
-        return true;
-    }
-
     private void handle(Link link, Message message) {
         if (message instanceof AnnounceAgent agent) {
             agentAnnounced(link, agent);
@@ -265,52 +239,15 @@
     }
 
     private void agentAnnounced(Link link, AnnounceAgent agent) {
-        WorkerView before = workers.get(agent.worker());
-        workerByLink.put(link, agent.worker());
-        workers.put(
-                agent.worker(),
-                new WorkerView(
-                        agent.worker(),
-                        agent.incarnation(),
-                        agent.zone(),
-                        agent.slots(),
-                        Optional.empty(),
-                        0,
-                        0,
-                        Version.NONE,
-                        false,
-                        link));
+        agents.announced(link, agent);
         publish();
-        if (before != null && !before.link().equals(link)) {
-            workerByLink.remove(before.link());
-            before.link().close();
-        }
-        events.write(Event.AGENT_CONNECTED, agent.worker(), agent.incarnation());
         listener.workerConnected(agent.worker(), agent.incarnation(), link);
     }
 
     private void agentBeat(Link link, AgentHeartbeat heartbeat) {
-        WorkerName worker = workerByLink.get(link);
-        if (worker == null) {
-            return;
-        }
-        WorkerView before = workers.get(worker);
-        Optional<ServiceName> service =
-                heartbeat.service().isEmpty() ? Optional.empty() : Optional.of(ServiceName.of(heartbeat.service()));
-        WorkerView after = new WorkerView(
-                before.worker(),
-                before.agent(),
-                before.zone(),
-                before.slots(),
-                service,
-                heartbeat.running(),
-                heartbeat.credit(),
-                heartbeat.version(),
-                heartbeat.leaving(),
-                link);
-        workers.put(before.worker(), after);
+        boolean placesDifferently = agents.beat(link, heartbeat);
         answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version());
-        if (after.placesDifferently(before)) {
+        if (placesDifferently) {
             publish();
         }
     }
@@ -332,19 +269,16 @@
 
     /** Lists the entries in service if the other end has not been told of exactly these. */
     private List<EntryAddress> newEntriesFor(Link link) {
-        List<EntryAddress> now = inService();
+        List<EntryAddress> now = peers.inService(leaving);
         return now.equals(entriesTold.put(link, now)) ? List.of() : now;
     }
 
     private void peerReplied(Link link, HeartbeatReply reply) {
-        peers.forEach((incarnation, peerLink) -> {
-            if (!peerLink.equals(link)) {
-                return;
-            }
-            peerLeaving.put(incarnation, reply.leaving());
+        peers.at(link).ifPresent(peer -> {
+            peers.noteLeaving(peer, reply.leaving());
             if (!reply.version().isAfter(version)) {
                 Duration age = reply.freshAgeMillis() < 0 ? null : Duration.ofMillis(reply.freshAgeMillis());
-                freshness.peerAnswered(incarnation, reply.echoNanos(), age);
+                freshness.peerAnswered(peer, reply.echoNanos(), age);
             }
         });
         reply.entries().forEach(membership::hear);
@@ -366,7 +300,8 @@
         }
         notePause();
         closeSilentLinks();
-        dialPeers();
+        peers.dialMissing(this::dial);
+        peers.dropUnknown().forEach(freshness::peerGone);
         sendToPeers();
         if (time.nanos() - announcedNanos > settings.announceEvery().toNanos() && !leaving) {
             announce(false);
@@ -398,42 +333,21 @@
         });
     }
 
-    private void dialPeers() {
-        Set<Incarnation> wanted = new HashSet<>();
-        for (EntryAddress entry : membership.entries()) {
-            wanted.add(entry.incarnation());
-            if (!entry.incarnation().equals(self.incarnation())
-                    && !peers.containsKey(entry.incarnation())
-                    && dialing.add(entry.incarnation())) {
-                dial(entry);
-            }
-        }
-        Set<Incarnation> gone = new HashSet<>(peers.keySet());
-        gone.removeAll(wanted);
-        gone.forEach(incarnation -> {
-            peers.remove(incarnation).close();
-            peerLeaving.remove(incarnation);
-            freshness.peerGone(incarnation);
-        });
-    }
-
     private void dial(EntryAddress entry) {
         LogReader.within(lane, settings.silence(), dialer.dial(entry, this)).whenComplete((link, failure) -> {
-            dialing.remove(entry.incarnation());
-            if (failure != null) {
+            peers.dialed(entry, link);
+            if (link == null) {
                 return;
             }
-            peers.put(entry.incarnation(), link);
             lastHeardNanos.put(link, time.nanos());
             link.send(new AnnounceEntry(self));
             link.send(new PeerHeartbeat(time.nanos(), version, leaving));
             publish();
-            events.write(Event.PEER_CONNECTED, entry.name());
         });
     }
 
     private void sendToPeers() {
-        peers.values().forEach(link -> link.send(new PeerHeartbeat(time.nanos(), version, leaving)));
+        peers.sendToAll(new PeerHeartbeat(time.nanos(), version, leaving));
     }
 
     private boolean pollAgain() {
@@ -444,95 +358,43 @@
     }
 
     private void poll() {
-        if (polling) {
-            return;
-        }
-        polling = true;
-        readMembers()
-                .handle((nothing, failure) -> readOperations())
-                .thenCompose(reading -> reading)
-                .whenComplete((nothing, failure) -> {
-                    polling = false;
-                    noteLog(failure);
-                    publish();
-                });
-    }
-
-    private void noteLog(Throwable failure) {
-        boolean reachable = failure == null;
-        if (reachable == logReachable) {
-            return;
-        }
-        logReachable = reachable;
-        if (reachable) {
-            events.write(Event.LOG_REACHABLE);
-        } else {
-            events.write(Event.LOG_UNREACHABLE, failure.getMessage());
-        }
-    }
-
-    private CompletableFuture<Void> readMembers() {
-        return LogReader.toHead(membersLog, lane, settings.logTimeout(), membership::nextOffset, page -> page.entries()
-                .forEach(entry -> membership.fold(entry.offset(), entry.loggedAtMillis(), entry.body())));
+        long askedNanos = time.nanos();
+        log.poll(() -> operationsRead(askedNanos), this::publish);
     }
 
     private CompletableFuture<Void> readOperations() {
         long askedNanos = time.nanos();
-        return LogReader.toHead(operationsLog, lane, settings.logTimeout(), follower::nextOffset, this::foldOperations)
-                .thenRun(() -> {
-                    if (follower.hasGap()) {
-                        return;
-                    }
-                    caughtUp = true;
-                    adopt(follower.state().version(), follower.state().configuration());
-                    freshness.logRead(askedNanos);
-                    publish();
-                });
-    }
-
-    private void foldOperations(Page<OperationRecord> page) {
-        if (page.firstOffset() > follower.nextOffset()) {
-            events.write(Event.CONFIGURATION_GAP, page.firstOffset());
-        }
-        follower.logStartsAt(page.firstOffset());
-        page.entries().forEach(entry -> follower.next(entry.offset(), entry.loggedAtMillis(), entry.body()));
+        return log.readOperations(() -> operationsRead(askedNanos));
+    }
+
+    private void operationsRead(long askedNanos) {
+        adopt(log.state().version(), log.state().configuration());
+        freshness.logRead(askedNanos);
+        publish();
     }
 
     private CompletableFuture<Void> announce(boolean goodbye) {
         announcedNanos = time.nanos();
-        return LogReader.within(lane, settings.logTimeout(), membersLog.append(new MemberRecord(self, goodbye)))
-                .thenAccept(appended -> {});
+        return log.announce(new MemberRecord(self, goodbye));
     }
 
     private long freshAgeMillis() {
         int known = Math.max(1, membership.entries().size());
         Duration age = freshness.age(known, time.nanos());
-        return age == null || !caughtUp ? -1 : age.toMillis();
-    }
-
-    private List<EntryAddress> inService() {
-        List<EntryAddress> entries = new ArrayList<>();
-        if (!leaving) {
-            entries.add(self);
-        }
-        membership.entries().stream()
-                .filter(entry ->
-                        peers.containsKey(entry.incarnation()) && !peerLeaving.getOrDefault(entry.incarnation(), false))
-                .forEach(entries::add);
-        return entries;
+        return age == null || !log.isCaughtUp() ? -1 : age.toMillis();
     }
 
     private EntrySnapshot buildSnapshot() {
         return new EntrySnapshot(
                 self,
-                follower.state(),
+                log.state(),
                 configuration,
                 version,
-                inService(),
-                peers,
-                workers,
+                peers.inService(leaving),
+                peers.links(),
+                agents.workers(),
                 freshAgeMillis(),
-                caughtUp && !leaving,
+                log.isCaughtUp() && !leaving,
                 leaving,
                 usableFromNanos,
                 lastBeatNanos + settings.silence().toNanos());
--- /dev/null
+++ b/src/main/java/org/gypsumflow/control/LogFollower.java
@@ -0,0 +1,123 @@
+package org.gypsumflow.control;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.MemberRecord;
+import org.gypsumflow.command.Membership;
+import org.gypsumflow.command.OperationRecord;
+import org.gypsumflow.command.OperationsFollower;
+import org.gypsumflow.command.OperationsState;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.platform.PlatformLog.Page;
+import org.gypsumflow.platform.TypedLog;
+
+/** Follows the operations and members streams for an entry; used on the control lane only. */
+final class LogFollower {
+    private final Lane lane;
+    private final Duration timeout;
+    private final TypedLog<OperationRecord> operationsLog;
+    private final TypedLog<MemberRecord> membersLog;
+    private final Membership membership;
+    private final EventLog events;
+    private final OperationsFollower follower = OperationsFollower.create();
+    private boolean caughtUp;
+    private boolean reachable = true;
+    private boolean polling;
+
+    private LogFollower(
+            Lane lane,
+            Duration timeout,
+            TypedLog<OperationRecord> operationsLog,
+            TypedLog<MemberRecord> membersLog,
+            Membership membership,
+            EventLog events) {
+        this.lane = lane;
+        this.timeout = timeout;
+        this.operationsLog = operationsLog;
+        this.membersLog = membersLog;
+        this.membership = membership;
+        this.events = events;
+    }
+
+    static LogFollower create(
+            Lane lane,
+            Duration timeout,
+            TypedLog<OperationRecord> operationsLog,
+            TypedLog<MemberRecord> membersLog,
+            Membership membership,
+            EventLog events) {
+        return new LogFollower(lane, timeout, operationsLog, membersLog, membership, events);
+    }
+
+    /** Returns what the operations stream says as far as it was read. */
+    OperationsState state() {
+        return follower.state();
+    }
+
+    /** Tells whether the operations stream was once read to its head without a gap. */
+    boolean isCaughtUp() {
+        return caughtUp;
+    }
+
+    long snapshotLoggedAtMillis() {
+        return follower.snapshotLoggedAtMillis();
+    }
+
+    /** Reads both streams unless that is under way; {@code done} runs once it ended either way. */
+    void poll(Runnable operationsRead, Runnable done) {
+        if (polling) {
+            return;
+        }
+        polling = true;
+        readMembers()
+                .handle((nothing, failure) -> readOperations(operationsRead))
+                .thenCompose(reading -> reading)
+                .whenComplete((nothing, failure) -> {
+                    polling = false;
+                    noteReachable(failure);
+                    done.run();
+                });
+    }
+
+    /** Reads the operations stream to its head; {@code operationsRead} runs if no record is missing. */
+    CompletableFuture<Void> readOperations(Runnable operationsRead) {
+        return LogReader.toHead(operationsLog, lane, timeout, follower::nextOffset, this::foldOperations)
+                .thenRun(() -> {
+                    if (!follower.hasGap()) {
+                        caughtUp = true;
+                        operationsRead.run();
+                    }
+                });
+    }
+
+    CompletableFuture<Void> announce(MemberRecord member) {
+        return LogReader.within(lane, timeout, membersLog.append(member)).thenAccept(appended -> {});
+    }
+
+    private CompletableFuture<Void> readMembers() {
+        return LogReader.toHead(membersLog, lane, timeout, membership::nextOffset, page -> page.entries()
+                .forEach(entry -> membership.fold(entry.offset(), entry.loggedAtMillis(), entry.body())));
+    }
+
+    private void foldOperations(Page<OperationRecord> page) {
+        if (page.firstOffset() > follower.nextOffset()) {
+            events.write(Event.CONFIGURATION_GAP, page.firstOffset());
+        }
+        follower.logStartsAt(page.firstOffset());
+        page.entries().forEach(entry -> follower.next(entry.offset(), entry.loggedAtMillis(), entry.body()));
+    }
+
+    private void noteReachable(Throwable failure) {
+        boolean answered = failure == null;
+        if (answered == reachable) {
+            return;
+        }
+        reachable = answered;
+        if (answered) {
+            events.write(Event.LOG_REACHABLE);
+        } else {
+            events.write(Event.LOG_UNREACHABLE, failure.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Settings, threads, start and shutdown of the daemon. */
+package org.gypsumflow.daemon;
--- a/src/main/java/org/gypsumflow/traffic/Submissions.java
+++ b/src/main/java/org/gypsumflow/traffic/Submissions.java
@@ -1,13 +1,9 @@
 package org.gypsumflow.traffic;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.gypsumflow.command.ClaimRecord.Claimed;
@@ -45,47 +41,22 @@
     private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(250);
     private static final Duration TARGET_GRACE = Duration.ofSeconds(1);
-    private static final String STARTED_NOTHING =
-            "; this request started nothing, an earlier one under the same key may have";
-
-    private static final class Submission {
-        private final SubmissionDigest digest;
-        private final JobRequest job;
-        private final long deadlineNanos;
-        private final TraceParent trace;
-        private final CompletableFuture<JobOutcome> result = new CompletableFuture<>();
-        private final Set<ClaimNonce> nonces = new LinkedHashSet<>();
-        private Optional<ClaimNonce> received = Optional.empty();
-        private int unansweredForwards;
-        private ClaimNonce claim;
-        private JobFlight flight;
-        private long endedNanos;
-
-        private Submission(JobRequest job, long deadlineNanos, TraceParent trace) {
-            this.digest = job.key().digest();
-            this.job = job;
-            this.deadlineNanos = deadlineNanos;
-            this.trace = trace;
-        }
-
-        private boolean isHeldHere() {
-            return flight != null;
-        }
-    }
-
     private final EntryContext context;
     private final Lane lane;
     private final Function<Integer, ClaimStream> streams;
     private final Recovery recovery;
     private final Map<SubmissionDigest, Submission> submissions = new HashMap<>();
-    private final Deque<Submission> ended = new ArrayDeque<>();
-    private long endedCharacters;
+    private final AnswerCache answers;
 
     private Submissions(EntryContext context, Lane lane, Function<Integer, ClaimStream> streams) {
         this.context = context;
         this.lane = lane;
         this.streams = streams;
         this.recovery = Recovery.create(context, lane);
+        this.answers = AnswerCache.create(
+                context.settings().dedupeWindow(),
+                context.settings().mostAnswerCharacters(),
+                old -> submissions.remove(old.digest));
     }
 
     static Submissions create(EntryContext context, Lane lane, Function<Integer, ClaimStream> streams) {
@@ -123,7 +94,7 @@
     CompletableFuture<Optional<JobView>> describe(SubmissionDigest digest) {
         CompletableFuture<Optional<JobView>> answer = new CompletableFuture<>();
         lane.execute(() ->
-                answer.complete(Optional.ofNullable(submissions.get(digest)).map(Submissions::view)));
+                answer.complete(Optional.ofNullable(submissions.get(digest)).map(Submission::view)));
         return answer;
     }
 
@@ -144,19 +115,9 @@
         }));
     }
 
-    private static JobView view(Submission submission) {
-        JobOutcome outcome = submission.result.getNow(null);
-        return new JobView(
-                submission.digest.toString(),
-                outcome == null ? "running" : "ended",
-                outcome == null ? null : outcome.verdict(),
-                outcome == null ? "" : outcome.reason(),
-                submission.job.size());
-    }
-
     private CompletableFuture<JobOutcome> submitOnLane(
             JobRequest job, TraceParent trace, Optional<ClaimNonce> forwarded) {
-        forgetOld();
+        answers.forgetOld(context.time().nanos());
         Submission known = submissions.get(job.key().digest());
         if (known != null) {
             forwarded.ifPresent(known.nonces::add);
@@ -164,11 +125,12 @@
         }
         if (!context.snapshot().isAwake(context.time().nanos())) {
             return CompletableFuture.failedFuture(Refusal.mayHaveRun(
-                            ErrorCode.LEAVING, "this entry was paused and the request may be old" + STARTED_NOTHING)
+                            ErrorCode.LEAVING,
+                            "this entry was paused and the request may be old" + Submission.STARTED_NOTHING)
                     .toException());
         }
         long deadline = context.time().nanos() + job.timeout().toNanos();
-        Submission submission = new Submission(job, deadline, trace);
+        Submission submission = Submission.create(job, deadline, trace);
         submissions.put(submission.digest, submission);
         context.submissionOpened();
         submission.result.whenComplete((outcome, failure) -> ended(submission, outcome));
@@ -215,7 +177,7 @@
     private void beginTicket(Submission submission) {
         Optional<Tickets.Ticket> ticket = Tickets.parse(submission.job.key().key());
         if (ticket.isEmpty()) {
-            refuse(submission, Refusal.notRun(ErrorCode.BAD_TICKET, "the ticket is malformed"));
+            submission.refuse(Refusal.notRun(ErrorCode.BAD_TICKET, "the ticket is malformed"));
             return;
         }
         Incarnation holder = ticket.get().holder();
@@ -224,11 +186,9 @@
             return;
         }
         if (!context.tickets().isValid(ticket.get(), submission.job.key().caller())) {
-            refuse(
-                    submission,
-                    Refusal.mayHaveRun(
-                            ErrorCode.BAD_TICKET,
-                            "the ticket is unknown or has expired; it starts nothing now, but may have before"));
+            submission.refuse(Refusal.mayHaveRun(
+                    ErrorCode.BAD_TICKET,
+                    "the ticket is unknown or has expired; it starts nothing now, but may have before"));
             return;
         }
         run(submission);
@@ -241,16 +201,15 @@
         }
         EntrySnapshot snapshot = context.snapshot();
         if (snapshot.leaving() || !snapshot.ready()) {
-            refuse(submission, Refusal.mayHaveRun(ErrorCode.LEAVING, "this entry is not in service" + STARTED_NOTHING));
+            submission.refuse(
+                    Refusal.mayHaveRun(ErrorCode.LEAVING, "this entry is not in service" + Submission.STARTED_NOTHING));
             return;
         }
         ClaimStream stream = streams.apply(
                 Ownership.streamOf(submission.digest, context.settings().claimStreams()));
         if (stream.isFull()) {
-            refuse(
-                    submission,
-                    Refusal.mayHaveRun(
-                            ErrorCode.OVERLOADED, "too many submissions wait for a claim" + STARTED_NOTHING));
+            submission.refuse(Refusal.mayHaveRun(
+                    ErrorCode.OVERLOADED, "too many submissions wait for a claim" + Submission.STARTED_NOTHING));
             return;
         }
         Tracing.Hop hop = context.tracing().begin("claim", submission.trace);
@@ -262,8 +221,7 @@
 
     /** A claim made for another entry uses the nonce that came with the job, any other claim a fresh one. */
     private Claimed wanted(Submission submission) {
-        ClaimNonce nonce = submission.received.orElseGet(() -> freshNonce(submission));
-        submission.received = Optional.empty();
+        ClaimNonce nonce = submission.takeReceived().orElseGet(() -> freshNonce(submission));
         JobRequest job = submission.job;
         return new Claimed(submission.digest, job.fingerprint(), job.size(), context.self(), nonce);
     }
@@ -283,13 +241,14 @@
             lost(submission, lost.winner());
         } else if (result instanceof ClaimResult.Abandoned abandoned) {
             context.events().write(Event.CLAIM_ABANDONED, submission.digest, abandoned.reason());
-            refuse(submission, Refusal.mayHaveRun(ErrorCode.LOG_UNAVAILABLE, abandoned.reason() + STARTED_NOTHING));
+            submission.refuse(
+                    Refusal.mayHaveRun(ErrorCode.LOG_UNAVAILABLE, abandoned.reason() + Submission.STARTED_NOTHING));
         }
     }
 
     private void lost(Submission submission, Claimed winner) {
         if (winner.fingerprint() != submission.job.fingerprint()) {
-            refuse(submission, keyReused(submission.job));
+            submission.refuse(keyReused(submission.job));
             return;
         }
         if (winner.holder().equals(context.self())) {
@@ -354,28 +313,24 @@
         if (failure != null || passedOn) {
             otherwise.run();
         } else if (answer instanceof JobReport report) {
-            reported(submission, report.outcome());
+            submission.passOn(report.outcome());
         } else if (answer instanceof JobRefused refused) {
-            refuse(submission, refused.refusal());
+            submission.refuse(refused.refusal());
         }
     }
 
     private void run(Submission submission) {
         JobRequest job = submission.job;
         if (context.snapshot().configuration().stoppedServices().contains(job.service())) {
-            refuse(
-                    submission,
-                    Refusal.notRun(
-                            ErrorCode.SERVICE_STOPPED, "service \"" + job.service() + "\" is stopped by an operator"));
+            submission.refuse(Refusal.notRun(
+                    ErrorCode.SERVICE_STOPPED, "service \"" + job.service() + "\" is stopped by an operator"));
             return;
         }
         if (context.placement().waitingTasks() + job.size() > context.settings().mostWaitingTasks()) {
-            refuse(
-                    submission,
-                    Refusal.notRun(
-                            ErrorCode.OVERLOADED,
-                            context.placement().waitingTasks() + " tasks wait already, at most "
-                                    + context.settings().mostWaitingTasks() + " may"));
+            submission.refuse(Refusal.notRun(
+                    ErrorCode.OVERLOADED,
+                    context.placement().waitingTasks() + " tasks wait already, at most "
+                            + context.settings().mostWaitingTasks() + " may"));
             return;
         }
         if (context.snapshot().startable(job.service()).isEmpty()) {
@@ -390,11 +345,9 @@
             return;
         }
         if (context.snapshot().startable(submission.job.service()).isEmpty()) {
-            refuse(
-                    submission,
-                    Refusal.notRun(
-                            ErrorCode.NO_TARGET,
-                            "no open worker has a target of service \"" + submission.job.service() + "\""));
+            submission.refuse(Refusal.notRun(
+                    ErrorCode.NO_TARGET,
+                    "no open worker has a target of service \"" + submission.job.service() + "\""));
             return;
         }
         fly(submission);
@@ -430,25 +383,7 @@
         Refusal refusal = submission.claim != null
                 ? Refusal.notRun(ErrorCode.TIMEOUT, "the deadline passed before the job could start")
                 : Refusal.mayHaveRun(ErrorCode.TIMEOUT, "the deadline passed without an answer");
-        refuse(submission, refusal);
-    }
-
-    /** Passes on the answer of another entry. */
-    private static void reported(Submission submission, JobOutcome outcome) {
-        if (outcome.verdict() == Verdict.NOT_RUN && submission.unansweredForwards > 0) {
-            refuse(submission, Refusal.notRun(ErrorCode.HOLDER_LOST, outcome.reason()));
-            return;
-        }
-        submission.result.complete(outcome);
-    }
-
-    /** Refuses a submission; while a copy of it may still arrive at another entry, "not run" is no proof. */
-    private static void refuse(Submission submission, Refusal refusal) {
-        boolean copyAtLarge = submission.unansweredForwards > 0 && submission.claim == null;
-        Refusal proven = refusal.verdict() == Verdict.NOT_RUN && copyAtLarge
-                ? Refusal.mayHaveRun(refusal.code(), refusal.message() + STARTED_NOTHING)
-                : refusal;
-        submission.result.completeExceptionally(proven.toException());
+        submission.refuse(refusal);
     }
 
     private static Refusal keyReused(JobRequest job) {
@@ -462,7 +397,7 @@
         context.submissionEnded();
         boolean proven = outcome != null && outcome.verdict() != Verdict.NOT_RUN && submission.isHeldHere();
         if (proven) {
-            retain(submission, outcome);
+            answers.keep(submission, outcome, context.time().nanos());
             return;
         }
         submissions.remove(submission.digest);
@@ -480,34 +415,6 @@
         stream.release(submission.digest, submission.claim);
     }
 
-    private void retain(Submission submission, JobOutcome outcome) {
-        submission.endedNanos = context.time().nanos();
-        ended.addLast(submission);
-        endedCharacters += characters(outcome);
-        while (endedCharacters > context.settings().mostAnswerCharacters()) {
-            forgetOldest();
-        }
-    }
-
-    private void forgetOld() {
-        long oldest = context.time().nanos() - context.settings().dedupeWindow().toNanos();
-        while (!ended.isEmpty() && ended.peekFirst().endedNanos - oldest < 0) {
-            forgetOldest();
-        }
-    }
-
-    private void forgetOldest() {
-        Submission oldest = ended.removeFirst();
-        endedCharacters -= characters(oldest.result.join());
-        submissions.remove(oldest.digest);
-    }
-
-    private static long characters(JobOutcome outcome) {
-        return outcome.tasks().stream()
-                .mapToLong(task -> (long) task.result().length() + task.reason().length())
-                .sum();
-    }
-
     /** Turns the failure of a future into an answer for another process. */
     static Message answer(RequestId request, JobOutcome outcome, Throwable failure) {
         if (failure != null) {
--- /dev/null
+++ b/src/main/java/org/gypsumflow/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between processes with Netty and protobuf; encoding only. */
+package org.gypsumflow.wire;
--- a/src/test/java/org/gypsumflow/wire/OperationCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/OperationCodecTest.java
@@ -23,7 +23,7 @@
     private static final Operator NIGHT = Operator.of("night");
 
     private static PlanMade plan(String intent) {
-        PlanId id = PlanId.of("plan-" + Math.abs(intent.hashCode()));
+        PlanId id = PlanId.of(intent.replace(' ', '-'));
         return new PlanMade(new Plan(
                 id, intent, Intent.parse(intent), NIGHT, Version.of(4), 1, 2, List.of("step"), List.of("risk"), true));
     }
