Hold a zone while its closing may stand in the log unread

The entries reached a majority of each other, went on vouching, and the zone's agents started tasks 15 s after the closing stood in the log. Ruled out: the agents' guard and the fold; every process acted on what it knew.

Change: from just before it appends such a confirmation until the log was read, an entry does not vouch for the zone's agents and tells the other entries with its heartbeats, which do the same. The agents stop by themselves within the freshness bound; the other zones go on. Weighed and left: stopping all work while a confirmation is unsettled, which would stop bookings everywhere.

--- a/src/main/java/org/gypsumflow/control/AgentTable.java
+++ b/src/main/java/org/gypsumflow/control/AgentTable.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
 import org.gypsumflow.model.Event;
@@ -75,6 +76,10 @@
         return after.placesDifferently(before);
     }
 
+    Optional<AvailabilityZone> zoneOf(Link link) {
+        return Optional.ofNullable(workerByLink.get(link)).map(workers::get).map(WorkerView::zone);
+    }
+
     void closed(Link link) {
         WorkerName worker = workerByLink.remove(link);
         if (worker != null) {
--- a/src/main/java/org/gypsumflow/control/EntryControl.java
+++ b/src/main/java/org/gypsumflow/control/EntryControl.java
@@ -11,6 +11,7 @@
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.command.Membership;
 import org.gypsumflow.command.OperationRecord;
+import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
 import org.gypsumflow.model.CommandMessage.AnnounceEntry;
@@ -47,6 +48,7 @@
     private final Membership membership;
     private final LogFollower log;
     private final PeerTable peers;
+    private final ZoneHolds holds = ZoneHolds.create();
     private final AgentTable agents;
     private final Map<Link, List<EntryAddress>> entriesTold = new HashMap<>();
     private final Map<Link, Long> lastHeardNanos = new HashMap<>();
@@ -185,6 +187,26 @@
         });
     }
 
+    /**
+     * Stops vouching for the agents of a zone whose closing is about to be appended; called on the control lane.
+     *
+     * @param zone the zone
+     */
+    void holdZone(AvailabilityZone zone) {
+        holds.hold(zone);
+        sendToPeers();
+    }
+
+    /**
+     * Vouches again, since the log was read; called on the control lane.
+     *
+     * @param zone the zone
+     */
+    void releaseZone(AvailabilityZone zone) {
+        holds.release(zone);
+        sendToPeers();
+    }
+
     /**
      * Tells whether the entries out of reach could go on without this one while the log is out.
      *
@@ -217,6 +239,7 @@
             lastHeardNanos.remove(link);
             entriesTold.remove(link);
             peers.closed(link);
+            holds.peerClosed(link);
             agents.closed(link);
             publish();
         });
@@ -246,7 +269,8 @@
 
     private void agentBeat(Link link, AgentHeartbeat heartbeat) {
         boolean placesDifferently = agents.beat(link, heartbeat);
-        answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version());
+        long age = agents.zoneOf(link).filter(holds::isHeld).isPresent() ? -1 : freshAgeMillis();
+        answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version(), age);
         if (placesDifferently) {
             publish();
         }
@@ -256,15 +280,16 @@
         if (heartbeat.version().isAfter(version)) {
             poll();
         }
-        answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version());
+        holds.peerHolds(link, heartbeat.heldZones());
+        answerBeat(link, heartbeat.sentAtNanos(), heartbeat.version(), freshAgeMillis());
     }
 
-    private void answerBeat(Link link, long echo, Version theirs) {
+    private void answerBeat(Link link, long echo, Version theirs, long freshAgeMillis) {
         if (version.isAfter(theirs)) {
             link.send(new ApplyConfiguration(version, configuration));
         }
         link.send(new HeartbeatReply(
-                echo, version, freshAgeMillis(), waitingTasks.getAsInt(), newEntriesFor(link), leaving));
+                echo, version, freshAgeMillis, waitingTasks.getAsInt(), newEntriesFor(link), leaving));
     }
 
     /** Lists the entries in service if the other end has not been told of exactly these. */
@@ -341,13 +366,13 @@
             }
             lastHeardNanos.put(link, time.nanos());
             link.send(new AnnounceEntry(self));
-            link.send(new PeerHeartbeat(time.nanos(), version, leaving));
+            link.send(new PeerHeartbeat(time.nanos(), version, leaving, holds.own()));
             publish();
         });
     }
 
     private void sendToPeers() {
-        peers.sendToAll(new PeerHeartbeat(time.nanos(), version, leaving));
+        peers.sendToAll(new PeerHeartbeat(time.nanos(), version, leaving, holds.own()));
     }
 
     private boolean pollAgain() {
@@ -370,6 +395,7 @@
     private void operationsRead(long askedNanos) {
         adopt(log.state().version(), log.state().configuration());
         freshness.logRead(askedNanos);
+        holds.logRead();
         publish();
     }
 
--- a/src/main/java/org/gypsumflow/control/OperationsDesk.java
+++ b/src/main/java/org/gypsumflow/control/OperationsDesk.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import org.gypsumflow.command.Change.CloseZone;
 import org.gypsumflow.command.OperationRecord;
 import org.gypsumflow.command.OperationRecord.PlanConfirmed;
 import org.gypsumflow.command.OperationRecord.PlanMade;
@@ -19,6 +20,7 @@
 import org.gypsumflow.command.PlanState.Standing;
 import org.gypsumflow.command.Planner;
 import org.gypsumflow.command.Planner.WorkerFact;
+import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.ErrorCode;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
@@ -180,6 +182,7 @@
             return;
         }
         PlanConfirmed confirmation = new PlanConfirmed(id, operator, randomText(), override, time.millis());
+        closing(id).ifPresent(control::holdZone);
         append(confirmation, time.nanos() + CONFIRM_LIMIT.toNanos(), answer);
     }
 
@@ -236,10 +239,12 @@
                 .filter(known -> known.standing() != Standing.PROPOSED)
                 .orElse(null);
         if (state != null) {
+            closing(confirmation.plan()).ifPresent(control::releaseZone);
             answerWith(state, confirmation, answer);
             return;
         }
         if (time.nanos() - deadlineNanos >= 0) {
+            closing(confirmation.plan()).ifPresent(this::releaseOnceRead);
             answer.completeExceptionally(Refusal.mayHaveRun(
                             ErrorCode.LOG_UNAVAILABLE,
                             "the platform's log did not answer; plan \"" + confirmation.plan()
@@ -250,6 +255,28 @@
         lane.after(RETRY_PAUSE, () -> append(confirmation, deadlineNanos, answer));
     }
 
+    /** Finds the zone that a plan closes. */
+    private Optional<AvailabilityZone> closing(PlanId id) {
+        return control.snapshot()
+                .operations()
+                .plan(id)
+                .map(state -> state.plan().change())
+                .filter(CloseZone.class::isInstance)
+                .map(change -> ((CloseZone) change).zone());
+    }
+
+    /** Holds a zone until the log tells whether the closing stands in it. */
+    private void releaseOnceRead(AvailabilityZone zone) {
+        control.refresh()
+                .whenComplete((nothing, failure) -> lane.execute(() -> {
+                    if (failure == null) {
+                        control.releaseZone(zone);
+                    } else if (!stopped) {
+                        lane.after(RETRY_PAUSE, () -> releaseOnceRead(zone));
+                    }
+                }));
+    }
+
     private static void answerWith(PlanState state, PlanConfirmed confirmation, CompletableFuture<PlanState> answer) {
         boolean ours = state.confirmNonce().equals(confirmation.nonce());
         if (ours && state.standing() == Standing.ACCEPTED) {
--- a/src/main/java/org/gypsumflow/model/CommandMessage.java
+++ b/src/main/java/org/gypsumflow/model/CommandMessage.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.model;
 
 import java.time.Duration;
+import java.util.Set;
 
 /** A message that changes the state of the process that receives it. */
 public sealed interface CommandMessage extends Message {
@@ -42,8 +43,10 @@
      * @param sentAtNanos the sender's monotonic clock, echoed by the reply
      * @param version version of the sender's configuration
      * @param leaving true once the sender is leaving
+     * @param heldZones zones whose closing may stand in the log although the sender could not read it yet
      */
-    record PeerHeartbeat(long sentAtNanos, Version version, boolean leaving) implements CommandMessage {}
+    record PeerHeartbeat(long sentAtNanos, Version version, boolean leaving, Set<AvailabilityZone> heldZones)
+            implements CommandMessage {}
 
     /**
      * Tells an agent how much work waits at an entry, so that it lends its slots where they are needed.
--- a/src/main/java/org/gypsumflow/wire/CommandCodec.java
+++ b/src/main/java/org/gypsumflow/wire/CommandCodec.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.wire;
 
 import java.time.Duration;
+import java.util.stream.Collectors;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.Caller;
 import org.gypsumflow.model.ClaimNonce;
@@ -41,7 +42,10 @@
             envelope.getPeerHeartbeatBuilder()
                     .setSentAtNanos(heartbeat.sentAtNanos())
                     .setVersion(heartbeat.version().value())
-                    .setLeaving(heartbeat.leaving());
+                    .setLeaving(heartbeat.leaving())
+                    .addAllHeldZones(heartbeat.heldZones().stream()
+                            .map(AvailabilityZone::value)
+                            .toList());
         } else if (command instanceof ReportDemand demand) {
             envelope.getReportDemandBuilder().setWaiting(demand.waiting());
         } else if (command instanceof StartTask start) {
@@ -75,7 +79,10 @@
                 new PeerHeartbeat(
                         envelope.getPeerHeartbeat().getSentAtNanos(),
                         Version.of(envelope.getPeerHeartbeat().getVersion()),
-                        envelope.getPeerHeartbeat().getLeaving());
+                        envelope.getPeerHeartbeat().getLeaving(),
+                        envelope.getPeerHeartbeat().getHeldZonesList().stream()
+                                .map(AvailabilityZone::of)
+                                .collect(Collectors.toSet()));
             case REPORT_DEMAND -> new ReportDemand(envelope.getReportDemand().getWaiting());
             case START_TASK -> decode(envelope.getStartTask());
             case RESOLVE_TASK -> decode(envelope.getResolveTask());
--- a/src/test/java/org/gypsumflow/wire/MessageCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/MessageCodecTest.java
@@ -61,7 +61,7 @@
             {new CommandMessage.AnnounceEntry(ENTRY)},
             {new CommandMessage.AnnounceAgent(WorkerName.of("worker"), LIFE, SOFIA, 8)},
             {new CommandMessage.AgentHeartbeat(-5, Version.of(7), "bookings", 3, 4, true)},
-            {new CommandMessage.PeerHeartbeat(5, Version.of(7), false)},
+            {new CommandMessage.PeerHeartbeat(5, Version.of(7), false, Set.of(SOFIA))},
             {new CommandMessage.ReportDemand(180)},
             {
                 new CommandMessage.StartTask(
--- a/src/test/java/org/gypsumflow/world/RandomHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/RandomHistoryTest.java
@@ -33,6 +33,13 @@
         assertEquals(broken, List.of());
     }
 
+    @Test
+    public void everyPromiseHoldsInTheHistoriesThatFailedOnce() {
+        LongStream.of(106, 189, 1293)
+                .forEach(seed ->
+                        assertEquals(Promises.broken(RandomHistory.run(seed).world()), List.of(), "seed " + seed));
+    }
+
     @Test
     public void aHistoryIsTheSameWheneverItsSeedIsTheSame() {
         LongStream.of(3, 17).forEach(seed -> {
--- a/src/test/resources/scenarios/zones.feature
+++ b/src/test/resources/scenarios/zones.feature
@@ -112,3 +112,22 @@
     When the log is back
     And 5 seconds pass
     Then entry 2 says that "drain" is PROPOSED
+
+  Scenario: The log goes out right after it took a confirmation whose answer is lost
+    When operator "night" plans "drain sofia" at entry 1 as "drain"
+    And every answer of the log is lost after the write
+    And operator "night" confirms "drain" at entry 1
+    And 7 milliseconds pass
+    And the log is out
+    And 4 seconds pass
+    And from here on it counts
+    And a caller fetches a ticket "booking" from entry 2
+    And a caller submits "booking" of 30 tasks at entry 2
+    And 10 seconds pass
+    Then every answer to "booking" is COMPLETED
+    And 0 tasks started in "sofia" since it counts
+    When the log answers again
+    And the log is back
+    And 5 seconds pass
+    Then entry 2 says that "drain" is ACCEPTED
+    And every promise holds
