--- a/src/main/java/org/gypsumflow/bench/Demo.java
+++ b/src/main/java/org/gypsumflow/bench/Demo.java
@@ -48,6 +48,9 @@
     @Option(name = "--workers", required = true, usage = "number of workers to wait for")
     private int workers;
 
+    @Option(name = "--second-process", required = true, usage = "process id of the second entry, which will be killed")
+    private long secondProcess;
+
     private final HttpCaller caller = HttpCaller.create();
     private boolean broken;
 
@@ -104,6 +107,7 @@
                 "starts in zone %s after the confirmation plus %d ms: %d%n",
                 CLOSED_ZONE, CLOSING_BOUND.toMillis(), late);
         check("nothing starts in the closed zone", late == 0);
+        killSecondEntry(journal, key + "-killed");
         int most = journal.startsPerTask().values().stream()
                 .mapToInt(Integer::intValue)
                 .max()
@@ -118,6 +122,22 @@
         return broken ? EXIT_BROKEN : 0;
     }
 
+    /** Kills the second entry while it runs a job, and sends the job again to the first. */
+    private void killSecondEntry(Journal journal, String key) {
+        int before = journal.starts().size();
+        CompletableFuture<HttpCaller.Answer> lost = sendJob(second, key);
+        await(START_LIMIT, () -> journal.starts().size() > before);
+        ProcessHandle.of(secondProcess).ifPresent(ProcessHandle::destroyForcibly);
+        JsonNode answer = runJob(first, key);
+        String verdict = answer.path("verdict").asText();
+        boolean answered = lost.handle((content, failure) -> failure == null).join();
+        System.out.printf(
+                "second entry killed with a job in flight (answered: %s); sent again: %s%n", answered, verdict);
+        check(
+                "the job sent again is whole or says that it may have run",
+                isComplete(answer) || verdict.equals("MAY_HAVE_RUN"));
+    }
+
     private void drain() {
         JsonNode plan = command(first, "plans", Map.of("intent", "drain " + CLOSED_ZONE), operator());
         System.out.println("plan " + plan.path("plan").asText() + ": "
@@ -140,6 +160,10 @@
     }
 
     private JsonNode runJob(String entry, String key) {
+        return json(sendJob(entry, key));
+    }
+
+    private CompletableFuture<HttpCaller.Answer> sendJob(String entry, String key) {
         StringBuilder tasks = new StringBuilder();
         for (int index = 0; index < TASKS; index++) {
             tasks.append(index == 0 ? "" : ",")
@@ -149,8 +173,7 @@
         }
         String body = "{\"service\":\"bookings\",\"timeoutMillis\":30000,\"tasks\":[" + tasks + "]}";
         Map<String, String> headers = Map.of("Authorization", "Bearer demo-caller-token", "Idempotency-Key", key);
-        return json(
-                caller.post(entry + "/v1/commands/jobs", headers, body.getBytes(StandardCharsets.UTF_8), CALL_TIMEOUT));
+        return caller.post(entry + "/v1/commands/jobs", headers, body.getBytes(StandardCharsets.UTF_8), CALL_TIMEOUT);
     }
 
     private boolean isReady(String entry) {
--- a/src/main/java/org/gypsumflow/cli/CommandVerbs.java
+++ b/src/main/java/org/gypsumflow/cli/CommandVerbs.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.gypsumflow.cli.EntryClient.Answer;
 import org.gypsumflow.model.Check;
 
@@ -83,7 +84,7 @@
         return PlanWatcher.create(client, printer).watch(words.get(0));
     }
 
-    private int operate(String path, Object body, java.util.function.Consumer<JsonNode> print) {
+    private int operate(String path, Object body, Consumer<JsonNode> print) {
         Answer answer = client.command(path, body, Map.of(), OPERATION_TIMEOUT);
         if (exitCode(answer) != ExitCode.DONE) {
             printer.refusal(answer.json());
--- a/src/main/java/org/gypsumflow/cli/EntryClient.java
+++ b/src/main/java/org/gypsumflow/cli/EntryClient.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -81,7 +83,7 @@
     }
 
     private static boolean isRefusedConnection(CompletableFuture<HttpCaller.Answer> sent) {
-        return sent.handle((answer, failure) -> failure instanceof java.net.ConnectException)
+        return sent.handle((answer, failure) -> failure instanceof ConnectException)
                 .join();
     }
 
@@ -109,7 +111,7 @@
         try {
             return JSON.writeValueAsBytes(body);
         } catch (IOException impossible) {
-            throw new java.io.UncheckedIOException(impossible);
+            throw new UncheckedIOException(impossible);
         }
     }
 }
--- a/src/main/java/org/gypsumflow/command/OperationsState.java
+++ b/src/main/java/org/gypsumflow/command/OperationsState.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.command;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -146,6 +147,6 @@
             changed.remove(changed.keySet().iterator().next());
         }
         return new OperationsState(
-                nextOffset, configuration, version, java.util.Collections.unmodifiableMap(changed), lastChanges);
+                nextOffset, configuration, version, Collections.unmodifiableMap(changed), lastChanges);
     }
 }
--- a/src/main/java/org/gypsumflow/control/Lane.java
+++ b/src/main/java/org/gypsumflow/control/Lane.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /** Runs actions one after the other, so that the state they share needs no lock. */
 public interface Lane extends Executor {
@@ -19,7 +20,7 @@
      * @param period time between the end of one run and the start of the next
      * @param action the action, which says whether to go on
      */
-    default void every(Duration period, java.util.function.BooleanSupplier action) {
+    default void every(Duration period, BooleanSupplier action) {
         after(period, () -> {
             if (action.getAsBoolean()) {
                 every(period, action);
--- a/src/main/java/org/gypsumflow/control/LogReader.java
+++ b/src/main/java/org/gypsumflow/control/LogReader.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.gypsumflow.platform.PlatformLog.Page;
@@ -60,7 +61,7 @@
      * @param timeout how long to wait
      * @param answer the answer
      * @param <T> type of the answer
-     * @return the answer, or a {@link java.util.concurrent.TimeoutException}
+     * @return the answer, or a {@link TimeoutException}
      */
     public static <T> CompletableFuture<T> within(Lane lane, Duration timeout, CompletableFuture<T> answer) {
         CompletableFuture<T> bounded = new CompletableFuture<>();
@@ -74,7 +75,7 @@
         lane.after(
                 timeout,
                 () -> bounded.completeExceptionally(
-                        new java.util.concurrent.TimeoutException("no answer within " + timeout.toMillis() + " ms")));
+                        new TimeoutException("no answer within " + timeout.toMillis() + " ms")));
         return bounded;
     }
 }
--- a/src/main/java/org/gypsumflow/control/OperationsDesk.java
+++ b/src/main/java/org/gypsumflow/control/OperationsDesk.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.control;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -340,7 +341,7 @@
                     id,
                     reached + " of " + snapshot.workers().size() + " agents acknowledged version " + state.version()
                             + "; every other agent started nothing from "
-                            + java.time.Instant.ofEpochMilli(selfStopMillis) + " on: " + String.join(", ", behind));
+                            + Instant.ofEpochMilli(selfStopMillis) + " on: " + String.join(", ", behind));
         }
     }
 
--- a/src/main/java/org/gypsumflow/daemon/SettingsReader.java
+++ b/src/main/java/org/gypsumflow/daemon/SettingsReader.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.ValidationException;
 
@@ -212,8 +213,7 @@
             }
             boolean isTable =
                     node.get(field).isObject() && known.stream().anyMatch(each -> each.startsWith(name + "."));
-            Check.isTrue(
-                    isTable, name, "is not a setting of this program; known are " + new java.util.TreeSet<>(known));
+            Check.isTrue(isTable, name, "is not a setting of this program; known are " + new TreeSet<>(known));
             refuseUnknown(node.get(field), name + ".");
         });
     }
--- a/src/main/java/org/gypsumflow/daemon/Telemetry.java
+++ b/src/main/java/org/gypsumflow/daemon/Telemetry.java
@@ -3,6 +3,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.function.ToDoubleFunction;
+import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Tracing;
 
@@ -50,7 +51,7 @@
         try {
             exporter.close();
         } catch (Exception failure) {
-            events.write(org.gypsumflow.model.Event.INTERNAL_ERROR, "the span exporter", failure);
+            events.write(Event.INTERNAL_ERROR, "the span exporter", failure);
         }
     }
 }
--- a/src/main/java/org/gypsumflow/http/HttpFront.java
+++ b/src/main/java/org/gypsumflow/http/HttpFront.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -39,11 +40,7 @@
      * @param parameters reads a query parameter, null if it is missing
      * @param body content, empty for a query
      */
-    public record Call(
-            String path,
-            java.util.function.UnaryOperator<String> headers,
-            java.util.function.UnaryOperator<String> parameters,
-            byte[] body) {}
+    public record Call(String path, UnaryOperator<String> headers, UnaryOperator<String> parameters, byte[] body) {}
 
     /**
      * What a route answers.
--- a/src/main/java/org/gypsumflow/model/SubmissionDigest.java
+++ b/src/main/java/org/gypsumflow/model/SubmissionDigest.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.model;
 
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Longs;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -30,9 +31,8 @@
     public static SubmissionDigest ofText(String text) {
         byte[] hash = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).asBytes();
         return new SubmissionDigest(
-                com.google.common.primitives.Longs.fromByteArray(hash),
-                com.google.common.primitives.Longs.fromBytes(
-                        hash[8], hash[9], hash[10], hash[11], hash[12], hash[13], hash[14], hash[15]));
+                Longs.fromByteArray(hash),
+                Longs.fromBytes(hash[8], hash[9], hash[10], hash[11], hash[12], hash[13], hash[14], hash[15]));
     }
 
     @Override
