Name a submission's stream in one place and keep forsworn claims as a set

The index of a submission's claim stream was worked out in three places of Submissions; the claims that an entry gave up were the keys of a map whose values nobody read.

--- a/src/main/java/org/gypsumflow/traffic/ClaimStream.java
+++ b/src/main/java/org/gypsumflow/traffic/ClaimStream.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.AppendBudget;
 import org.gypsumflow.command.ClaimLedger;
@@ -47,14 +49,14 @@
     private final Map<ClaimNonce, Released> releases = new LinkedHashMap<>();
 
     /** Claims of this entry under which it starts nothing any more, whether or not their records land. */
-    private final Map<ClaimNonce, SubmissionDigest> forsworn = new LinkedHashMap<>() {
+    private final Set<ClaimNonce> forsworn = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<ClaimNonce, SubmissionDigest> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<ClaimNonce, Boolean> eldest) {
             return size() > MOST_FORSWORN_CLAIMS;
         }
-    };
+    });
 
     private boolean busy;
 
@@ -114,7 +116,7 @@
 
     /** Gives a claim back under which nothing was started and nothing ever will be. */
     void release(SubmissionDigest submission, ClaimNonce nonce) {
-        forsworn.put(nonce, submission);
+        forsworn.add(nonce);
         releases.put(nonce, new Released(submission, nonce));
         pump();
     }
@@ -127,7 +129,7 @@
     }
 
     private boolean isForsworn(Claimed claim) {
-        return claim.holder().equals(self) && forsworn.containsKey(claim.nonce());
+        return claim.holder().equals(self) && forsworn.contains(claim.nonce());
     }
 
     private void abandon(Pending claim) {
@@ -242,7 +244,7 @@
             waiting.result().complete(new ClaimResult.Won(claim.nonce()));
             return true;
         }
-        forsworn.put(claim.nonce(), claim.submission());
+        forsworn.add(claim.nonce());
         waiting.result().complete(new ClaimResult.Lost(winner.get()));
         return true;
     }
--- a/src/main/java/org/gypsumflow/traffic/Submissions.java
+++ b/src/main/java/org/gypsumflow/traffic/Submissions.java
@@ -168,12 +168,15 @@
 
     private Optional<Link> ownerLink(SubmissionDigest digest) {
         EntrySnapshot snapshot = context.snapshot();
-        int stream = Ownership.streamOf(digest, context.settings().claimStreams());
-        return Ownership.ownerOf(stream, snapshot.entries())
+        return Ownership.ownerOf(streamOf(digest), snapshot.entries())
                 .filter(owner -> !owner.incarnation().equals(snapshot.self().incarnation()))
                 .flatMap(owner -> snapshot.peer(owner.incarnation()));
     }
 
+    private int streamOf(SubmissionDigest digest) {
+        return Ownership.streamOf(digest, context.settings().claimStreams());
+    }
+
     private void beginTicket(Submission submission) {
         Optional<Tickets.Ticket> ticket = Tickets.parse(submission.job.key().key());
         if (ticket.isEmpty()) {
@@ -205,8 +208,7 @@
                     Refusal.mayHaveRun(ErrorCode.LEAVING, "this entry is not in service" + Submission.STARTED_NOTHING));
             return;
         }
-        ClaimStream stream = streams.apply(
-                Ownership.streamOf(submission.digest, context.settings().claimStreams()));
+        ClaimStream stream = streams.apply(streamOf(submission.digest));
         if (stream.isFull()) {
             submission.refuse(Refusal.mayHaveRun(
                     ErrorCode.OVERLOADED, "too many submissions wait for a claim" + Submission.STARTED_NOTHING));
@@ -408,8 +410,7 @@
 
     /** Gives the claim back, but first everything under which a copy of the job could still be claimed. */
     private void release(Submission submission) {
-        ClaimStream stream = streams.apply(
-                Ownership.streamOf(submission.digest, context.settings().claimStreams()));
+        ClaimStream stream = streams.apply(streamOf(submission.digest));
         submission.nonces.remove(submission.claim);
         submission.nonces.forEach(nonce -> stream.release(submission.digest, nonce));
         stream.release(submission.digest, submission.claim);
