--- a/src/main/java/org/gypsumflow/bench/Demo.java
+++ b/src/main/java/org/gypsumflow/bench/Demo.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.gypsumflow.platform.HttpCaller;
+import org.gypsumflow.http.HttpCaller;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
--- a/src/main/java/org/gypsumflow/cli/EntryClient.java
+++ b/src/main/java/org/gypsumflow/cli/EntryClient.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import org.gypsumflow.platform.HttpCaller;
+import org.gypsumflow.http.HttpCaller;
 
 /** Talks to the first entry that answers. */
 final class EntryClient implements AutoCloseable {
--- /dev/null
+++ b/src/main/java/org/gypsumflow/command/DispatchLimits.java
@@ -0,0 +1,33 @@
+package org.gypsumflow.command;
+
+import java.time.Duration;
+
+/**
+ * Times that decide when work counts as lost and where it may go.
+ *
+ * <p>The inequality behind them: a task may start again elsewhere only when it can no longer run where it was. An agent
+ * that hears nothing from an entry for {@link #SILENCE} stops that entry's tasks, which takes the worker
+ * {@link #STOP_TIME}; an agent that stands still cannot renew the worker's lease, so that the worker ends the tasks
+ * {@link #LEASE} after the last renewal, by a clock that may be slow by 2 %. Hence {@link #LOST_AFTER} is longer than
+ * both sums, counted from the last message that the entry received.
+ */
+public final class DispatchLimits {
+    /** Time between heartbeats on an otherwise idle connection; a third of the silence that ends it. */
+    public static final Duration HEARTBEAT = Duration.ofMillis(150);
+    /** Silence after which a connection is taken to be dead; four heartbeats, so that one may be late. */
+    public static final Duration SILENCE = Duration.ofMillis(600);
+    /** How long a worker goes on without a renewal; below the platform's bound of one second on leases. */
+    public static final Duration LEASE = Duration.ofMillis(900);
+    /** Longest time that a worker needs to stop a task; the platform's bound. */
+    public static final Duration STOP_TIME = Duration.ofMillis(50);
+    /** Silence of an agent after which its tasks have surely ended: silence on both sides, then the stop. */
+    public static final Duration LOST_AFTER = Duration.ofMillis(1300);
+    /** A process that did not run for this long may have been given up by all others; longer than a slow timer. */
+    public static final Duration PAUSE = Duration.ofMillis(450);
+    /** Time between an agent's unasked reports of its room while it changes; a trade of bytes against collisions. */
+    public static final Duration REPORT = Duration.ofMillis(100);
+    /** Multiple of the objective after which an answer earns its caller nothing. */
+    public static final double USELESS_AFTER = 3.0;
+
+    private DispatchLimits() {}
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -0,0 +1,275 @@
+package org.gypsumflow.command;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.gypsumflow.command.PlacementRule.Wanted;
+import org.gypsumflow.command.WorkerBoard.Candidate;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.JobAnswer;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.TaskName;
+
+/** The jobs of one entry: places their tasks, follows them, and answers whole or says what is known. */
+public final class JobDispatcher {
+    /** Retry-After while nothing better is known: a worker's queue drains within it. */
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    /** Time between the answer at the entry and the caller's receipt, which the deadline must cover. */
+    private static final Duration ANSWER_TRAVEL = Duration.ofMillis(30);
+
+    private final Map<JobId, JobRun> jobs = new HashMap<>();
+    private final WorkerBoard board;
+    private final PlacementRule rule;
+    private final JobPorts ports;
+    private final EventLog events;
+
+    private JobDispatcher(WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events) {
+        this.board = board;
+        this.rule = rule;
+        this.ports = ports;
+        this.events = events;
+    }
+
+    /**
+     * Creates a dispatcher without jobs.
+     *
+     * @param board what is known of the workers
+     * @param rule chooses workers
+     * @param ports carries orders
+     * @param events receives numbered events
+     * @return the dispatcher
+     */
+    public static JobDispatcher create(WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events) {
+        return new JobDispatcher(board, rule, ports, events);
+    }
+
+    /**
+     * Takes a job, or adds a second asker to one that is under way.
+     *
+     * @param job the job
+     * @param nowNanos monotonic clock
+     * @param timeLeft how long the caller waits
+     * @param asker gets the final answer, once
+     */
+    public void submit(BestEffortJob job, long nowNanos, Duration timeLeft, Consumer<JobAnswer> asker) {
+        JobRun known = jobs.get(job.id());
+        if (known != null) {
+            known.ask(asker);
+            return;
+        }
+        long deadline = nowNanos + timeLeft.minus(ANSWER_TRAVEL).toNanos();
+        JobRun run = new JobRun(job, nowNanos, deadline);
+        run.ask(asker);
+        jobs.put(job.id(), run);
+        place(run, nowNanos);
+    }
+
+    /**
+     * Ends a job because its caller cancelled it.
+     *
+     * @param id the job
+     * @return true if it was under way here
+     */
+    public boolean cancel(JobId id) {
+        return end(id, JobAnswer.ofCancelled());
+    }
+
+    /**
+     * Ends a job because its caller is gone or has come to another entry.
+     *
+     * @param id the job
+     * @return true if it was under way here
+     */
+    public boolean abandon(JobId id) {
+        return end(id, JobAnswer.mayHaveRun("nobody waits for this job here any more"));
+    }
+
+    /**
+     * Tells whether a job is under way here.
+     *
+     * @param id the job
+     * @return true if it is
+     */
+    public boolean isUnderWay(JobId id) {
+        return jobs.containsKey(id);
+    }
+
+    /**
+     * Counts the jobs under way.
+     *
+     * @return number of jobs
+     */
+    public int size() {
+        return jobs.size();
+    }
+
+    /**
+     * Takes what an agent reports.
+     *
+     * @param agent who reports
+     * @param report ends and room
+     * @param nowNanos monotonic clock
+     */
+    public void report(NodeName agent, AgentReport report, long nowNanos) {
+        Collection<JobRun> touched = new ArrayList<>();
+        for (Ended ended : report.ended()) {
+            take(agent, ended).ifPresent(touched::add);
+        }
+        board.report(agent, report.room());
+        touched.stream().distinct().forEach(run -> place(run, nowNanos));
+    }
+
+    /**
+     * Takes note that an agent is out of touch.
+     *
+     * @param agent the agent
+     * @param surelyEndedNanos time on the monotonic clock from which none of its tasks can run any more
+     */
+    public void agentLost(NodeName agent, long surelyEndedNanos) {
+        for (JobRun run : jobs.values()) {
+            for (int index : run.orderedAt(agent)) {
+                run.unknown(index, surelyEndedNanos);
+            }
+        }
+        board.remove(agent);
+    }
+
+    /**
+     * Does what time demands: takes back lost tasks and gives up what can no longer be answered in time.
+     *
+     * @param nowNanos monotonic clock
+     */
+    public void tick(long nowNanos) {
+        for (JobRun run : List.copyOf(jobs.values())) {
+            if (nowNanos - run.deadlineNanos() >= 0) {
+                giveUp(run, "the caller's deadline has passed");
+            } else if (run.releaseUnknown(nowNanos)) {
+                place(run, nowNanos);
+            }
+        }
+    }
+
+    /**
+     * Gives up all jobs, since this process did not run for a while and others may have replaced it.
+     *
+     * @param reason why
+     */
+    public void giveUpAll(String reason) {
+        List.copyOf(jobs.values()).forEach(run -> giveUp(run, reason));
+    }
+
+    private Optional<JobRun> take(NodeName agent, Ended ended) {
+        JobRun run = jobs.get(ended.task().job());
+        int index = ended.task().index();
+        if (run == null || !run.agentOf(index, ended.run()).equals(Optional.of(agent))) {
+            return Optional.empty();
+        }
+        board.settled(agent, run.job().task());
+        switch (ended.ending()) {
+            case DONE -> run.done(index);
+            case FAILED -> fail(run, index);
+            case LOST -> run.lost(index);
+            case NOT_STARTED -> run.notStarted(index);
+        }
+        if (run.isComplete()) {
+            finish(run, JobAnswer.completed());
+        }
+        return Optional.of(run);
+    }
+
+    private void fail(JobRun run, int index) {
+        if (run.failed(index) >= run.job().route().attempts()) {
+            finish(run, JobAnswer.failed("task " + index + " failed as often as its route allows"));
+        }
+    }
+
+    private void place(JobRun run, long nowNanos) {
+        if (jobs.get(run.job().id()) != run) {
+            return;
+        }
+        List<Integer> waiting = run.waiting();
+        if (waiting.isEmpty()) {
+            return;
+        }
+        BestEffortJob job = run.job();
+        Collection<Candidate> candidates = board.candidates(job.route().service());
+        Duration latest = run.uselessIn(nowNanos);
+        Wanted wanted = new Wanted(
+                waiting.size(),
+                job.task(),
+                job.estimate(),
+                job.route().stretch(),
+                run.allowanceLeft(nowNanos),
+                latest,
+                run.mayHaveRun());
+        List<NodeName> chosen = rule.choose(wanted, candidates);
+        if (chosen.isEmpty()) {
+            giveUp(run, candidates.isEmpty() ? "no worker is in touch" : "no worker can end the job in time");
+            return;
+        }
+        order(run, waiting, chosen, nowNanos);
+    }
+
+    private void order(JobRun run, List<Integer> waiting, List<NodeName> chosen, long nowNanos) {
+        BestEffortJob job = run.job();
+        Duration startWithin = run.uselessIn(nowNanos).minus(job.estimate());
+        Duration urgency = run.allowanceLeft(nowNanos)
+                .plusNanos((long) (job.estimate().toNanos() * (job.route().stretch() - 1)));
+        Map<NodeName, List<Order>> orders = new TreeMap<>();
+        for (int place = 0; place < chosen.size(); place++) {
+            int index = waiting.get(place);
+            NodeName agent = chosen.get(place);
+            run.order(index, agent);
+            board.ordered(agent, job.task());
+            orders.computeIfAbsent(agent, name -> new ArrayList<>())
+                    .add(new Order(
+                            TaskName.of(job.id(), index),
+                            run.run(index),
+                            job.specification(),
+                            job.task(),
+                            job.estimate(),
+                            startWithin.isNegative() ? Duration.ZERO : startWithin,
+                            urgency));
+        }
+        orders.forEach(ports.starter()::start);
+    }
+
+    private void giveUp(JobRun run, String reason) {
+        boolean mayHaveRun = run.mayHaveRun();
+        events.write(Event.JOB_GIVEN_UP, run.job().id(), run.job().route().name(), mayHaveRun, board.size(), reason);
+        finish(run, mayHaveRun ? JobAnswer.mayHaveRun(reason) : JobAnswer.notRun(reason, RETRY_AFTER));
+    }
+
+    private boolean end(JobId id, JobAnswer answer) {
+        JobRun run = jobs.get(id);
+        if (run == null) {
+            return false;
+        }
+        events.write(Event.JOB_ENDED_EARLY, id, run.job().route().name(), answer.reason());
+        finish(run, answer);
+        return true;
+    }
+
+    private void finish(JobRun run, JobAnswer answer) {
+        if (!jobs.remove(run.job().id(), run)) {
+            return;
+        }
+        run.placed().forEach((agent, indexes) -> {
+            run.orderedAt(agent).forEach(index -> board.settled(agent, run.job().task()));
+            ports.stopper().stop(agent, run.job().id(), indexes);
+        });
+        run.answer(answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/command/PlacementRule.java
@@ -0,0 +1,41 @@
+package org.gypsumflow.command;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import org.gypsumflow.command.WorkerBoard.Candidate;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+
+/** Chooses workers for tasks of one job. */
+@FunctionalInterface
+public interface PlacementRule {
+    /**
+     * Tasks that look for workers.
+     *
+     * @param count number of tasks
+     * @param needs what each needs
+     * @param estimate rough running time of one
+     * @param stretch objective as a multiple of the running time
+     * @param allowance what the objective allows beyond that, less the time that has passed; may be negative
+     * @param latest time until an answer is worth nothing, from now
+     * @param begun true if parts of the job have started, so that a late end is better than none
+     */
+    record Wanted(
+            int count,
+            Resources needs,
+            Duration estimate,
+            double stretch,
+            Duration allowance,
+            Duration latest,
+            boolean begun) {}
+
+    /**
+     * Chooses a worker for each task.
+     *
+     * @param wanted the tasks
+     * @param candidates workers that may take them
+     * @return an agent for each task, in order; empty if the job had better not start
+     */
+    List<NodeName> choose(Wanted wanted, Collection<Candidate> candidates);
+}
--- a/src/main/java/org/gypsumflow/control/AgentControl.java
+++ b/src/main/java/org/gypsumflow/control/AgentControl.java
@@ -16,6 +16,7 @@
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.command.Membership;
 import org.gypsumflow.command.StartGuard;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
 import org.gypsumflow.model.CommandMessage.ApplyConfiguration;
@@ -29,7 +30,6 @@
 import org.gypsumflow.model.ReportMessage.HeartbeatReply;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.Version;
-import org.gypsumflow.platform.TypedLog;
 
 /**
  * Owns an agent's control state: connections to entries, configuration, freshness and the target's presence.
--- a/src/main/java/org/gypsumflow/control/EntryControl.java
+++ b/src/main/java/org/gypsumflow/control/EntryControl.java
@@ -11,6 +11,7 @@
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.command.Membership;
 import org.gypsumflow.command.OperationRecord;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.CommandMessage.AgentHeartbeat;
 import org.gypsumflow.model.CommandMessage.AnnounceAgent;
@@ -25,7 +26,6 @@
 import org.gypsumflow.model.Message;
 import org.gypsumflow.model.ReportMessage.HeartbeatReply;
 import org.gypsumflow.model.Version;
-import org.gypsumflow.platform.TypedLog;
 
 /**
  * Owns an entry's control state: membership, workers, configuration and freshness.
--- a/src/main/java/org/gypsumflow/control/LogFollower.java
+++ b/src/main/java/org/gypsumflow/control/LogFollower.java
@@ -7,10 +7,10 @@
 import org.gypsumflow.command.OperationRecord;
 import org.gypsumflow.command.OperationsFollower;
 import org.gypsumflow.command.OperationsState;
+import org.gypsumflow.log.PlatformLog.Page;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
-import org.gypsumflow.platform.PlatformLog.Page;
-import org.gypsumflow.platform.TypedLog;
 
 /** Follows the operations and members streams for an entry; used on the control lane only. */
 final class LogFollower {
--- a/src/main/java/org/gypsumflow/control/LogReader.java
+++ b/src/main/java/org/gypsumflow/control/LogReader.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.gypsumflow.platform.PlatformLog.Page;
-import org.gypsumflow.platform.TypedLog;
+import org.gypsumflow.log.PlatformLog.Page;
+import org.gypsumflow.log.TypedLog;
 
 /** Reads a stream to its head, page by page. */
 public final class LogReader {
--- /dev/null
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -0,0 +1,285 @@
+package org.gypsumflow.control;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.gypsumflow.command.DispatchLimits;
+import org.gypsumflow.model.DispatchMessage;
+import org.gypsumflow.model.DispatchMessage.Heartbeat;
+import org.gypsumflow.model.DispatchMessage.Introduce;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.Message;
+import org.gypsumflow.model.NodeName;
+
+/**
+ * The connections of one process to the others: opens them, introduces itself, and replaces those that fall silent. Its
+ * state belongs to the control lane; messages about jobs go straight to the listener on the thread they came on.
+ */
+public final class NodeLinks implements LinkListener {
+    /** Pause before a failed connection is tried again; a member that comes back waits for it. */
+    private static final Duration REDIAL = Duration.ofMillis(400);
+
+    /** Hears of connections on the control lane, and of messages on the thread that they came on. */
+    public interface Listener {
+        /**
+         * Takes note of a process that is in touch from now on.
+         *
+         * @param member the process
+         * @param link the connection to it
+         */
+        void connected(Member member, Link link);
+
+        /**
+         * Takes note of a process that is out of touch.
+         *
+         * @param member the process
+         * @param heardNanos when it was last heard, on the monotonic clock
+         */
+        void lost(Member member, long heardNanos);
+
+        /**
+         * Takes a message about jobs.
+         *
+         * @param from who sent it
+         * @param message the message
+         */
+        void message(NodeName from, DispatchMessage message);
+
+        /**
+         * Takes routes and closures that another process knows.
+         *
+         * @param from who sent them
+         * @param state what it knows
+         */
+        void shared(NodeName from, ShareState state);
+    }
+
+    /** Opens a connection to a member. */
+    @FunctionalInterface
+    public interface MemberDialer {
+        /**
+         * Opens a connection.
+         *
+         * @param member whom to reach
+         * @param listener receives what happens on the connection
+         * @return the open connection, or a failure
+         */
+        CompletableFuture<Link> dial(Member member, LinkListener listener);
+    }
+
+    private static final class State {
+        private volatile long heardNanos;
+        private volatile Member member;
+
+        private State(long heardNanos) {
+            this.heardNanos = heardNanos;
+        }
+    }
+
+    private final Member self;
+    private final Incarnation incarnation;
+    private final Lane control;
+    private final TimeSource time;
+    private final MemberDialer dialer;
+    private final Listener listener;
+    private final EventLog events;
+    private final Map<Link, State> states = new ConcurrentHashMap<>();
+    private final Map<NodeName, Link> current = new HashMap<>();
+    private final Map<NodeName, Member> toDial = new HashMap<>();
+    private final Set<NodeName> dialing = new HashSet<>();
+    private final Set<Link> dialed = new HashSet<>();
+    private boolean stopped;
+
+    private NodeLinks(
+            Member self,
+            Incarnation incarnation,
+            Lane control,
+            TimeSource time,
+            MemberDialer dialer,
+            Listener listener,
+            EventLog events) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.control = control;
+        this.time = time;
+        this.dialer = dialer;
+        this.listener = listener;
+        this.events = events;
+    }
+
+    /**
+     * Creates the connections of a process; there are none yet.
+     *
+     * @param self the process
+     * @param incarnation its present life
+     * @param control the control lane
+     * @param time tells the time
+     * @param dialer opens connections
+     * @param listener hears of connections and messages
+     * @param events receives numbered events
+     * @return the connections
+     */
+    public static NodeLinks create(
+            Member self,
+            Incarnation incarnation,
+            Lane control,
+            TimeSource time,
+            MemberDialer dialer,
+            Listener listener,
+            EventLog events) {
+        return new NodeLinks(self, incarnation, control, time, dialer, listener, events);
+    }
+
+    /** Begins to watch the connections. */
+    public void start() {
+        control.every(DispatchLimits.HEARTBEAT, () -> {
+            watch();
+            return !stopped;
+        });
+    }
+
+    /** Stops watching and closes all connections. */
+    public void stop() {
+        control.execute(() -> {
+            stopped = true;
+            states.keySet().forEach(Link::close);
+        });
+    }
+
+    /**
+     * Keeps a connection to a member from now on; called on the control lane.
+     *
+     * @param member whom to reach
+     */
+    public void keep(Member member) {
+        Member before = toDial.put(member.node(), member);
+        if (before == null || !before.equals(member)) {
+            dial(member.node());
+        }
+    }
+
+    /**
+     * Gives up the connection to a member; called on the control lane.
+     *
+     * @param node whom to forget
+     */
+    public void forget(NodeName node) {
+        toDial.remove(node);
+    }
+
+    /**
+     * Returns the connections to all processes in touch; called on the control lane.
+     *
+     * @return the connections
+     */
+    public Collection<Link> links() {
+        return current.values();
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        State state = states.computeIfAbsent(link, created -> new State(time.nanos()));
+        state.heardNanos = time.nanos();
+        if (message instanceof Introduce introduce) {
+            control.execute(() -> introduced(link, state, introduce));
+        } else if (message instanceof ShareState shared) {
+            control.execute(() -> {
+                if (state.member != null) {
+                    listener.shared(state.member.node(), shared);
+                }
+            });
+        } else if (message instanceof DispatchMessage dispatch && !(message instanceof Heartbeat)) {
+            Member member = state.member;
+            if (member != null) {
+                listener.message(member.node(), dispatch);
+            }
+        }
+    }
+
+    @Override
+    public void closed(Link link) {
+        control.execute(() -> ended(link, "closed"));
+    }
+
+    private void introduced(Link link, State state, Introduce introduce) {
+        Member member = introduce.member();
+        Link before = current.put(member.node(), link);
+        if (link.equals(before)) {
+            return;
+        }
+        if (before != null) {
+            State old = states.remove(before);
+            before.close();
+            if (old != null) {
+                listener.lost(member, old.heardNanos);
+            }
+        }
+        state.member = member;
+        if (!dialed.contains(link)) {
+            link.send(new Introduce(self, incarnation));
+        }
+        events.write(Event.NODE_CONNECTED, member.role(), member.node(), member.zone(), introduce.incarnation());
+        listener.connected(member, link);
+    }
+
+    private void dial(NodeName node) {
+        Member member = toDial.get(node);
+        if (stopped || member == null || current.containsKey(node) || !dialing.add(node)) {
+            return;
+        }
+        dialer.dial(member, this)
+                .whenCompleteAsync(
+                        (link, failure) -> {
+                            dialing.remove(node);
+                            if (failure != null) {
+                                control.after(REDIAL, () -> dial(node));
+                                return;
+                            }
+                            dialed.add(link);
+                            states.computeIfAbsent(link, created -> new State(time.nanos()));
+                            link.send(new Introduce(self, incarnation));
+                            control.after(DispatchLimits.SILENCE, () -> dial(node));
+                        },
+                        control);
+    }
+
+    private void watch() {
+        long now = time.nanos();
+        states.forEach((link, state) -> {
+            if (now - state.heardNanos > DispatchLimits.SILENCE.toNanos()) {
+                ended(
+                        link,
+                        "silent for " + Duration.ofNanos(now - state.heardNanos).toMillis() + " ms");
+                link.close();
+            } else if (state.member != null) {
+                link.send(new Heartbeat(now));
+            }
+        });
+    }
+
+    private void ended(Link link, String reason) {
+        State state = states.remove(link);
+        dialed.remove(link);
+        if (state == null) {
+            return;
+        }
+        Member member = state.member;
+        if (member == null) {
+            return;
+        }
+        if (current.remove(member.node(), link)) {
+            events.write(Event.NODE_LOST, member.role(), member.node(), reason);
+            listener.lost(member, state.heardNanos);
+            dial(member.node());
+        }
+    }
+}
--- a/src/main/java/org/gypsumflow/control/OperationsDesk.java
+++ b/src/main/java/org/gypsumflow/control/OperationsDesk.java
@@ -21,6 +21,7 @@
 import org.gypsumflow.command.PlanState.Standing;
 import org.gypsumflow.command.Planner;
 import org.gypsumflow.command.Planner.WorkerFact;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.ErrorCode;
 import org.gypsumflow.model.Event;
@@ -29,7 +30,6 @@
 import org.gypsumflow.model.PlanId;
 import org.gypsumflow.model.Refusal;
 import org.gypsumflow.model.ValidationException;
-import org.gypsumflow.platform.TypedLog;
 
 /** Takes intents and confirmations of operators and reports what came of them; works on the control lane. */
 public final class OperationsDesk {
--- /dev/null
+++ b/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
@@ -0,0 +1,161 @@
+package org.gypsumflow.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.MemberDirectory;
+import org.gypsumflow.control.NodeLinks;
+import org.gypsumflow.control.SharedState;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.http.HttpCaller;
+import org.gypsumflow.http.HttpFront;
+import org.gypsumflow.log.KeyedLog;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.platform.HttpKeyedLog;
+import org.gypsumflow.wire.MemberRecords;
+import org.gypsumflow.wire.NettyTransport;
+
+/** What both roles on the users' platform have in common: lanes, connections, the store, start and stop. */
+abstract class DispatchDaemon implements Daemon {
+    /** Share of the grace time after which a leaving process ends; the rest is left for its own end. */
+    private static final double GRACE_SHARE = 0.8;
+    /** Connections to the store: one for each followed topic and one for writes, with one to spare. */
+    private static final int STORE_CONNECTIONS = 4;
+    /** Time for the last answers to reach their readers before the process ends. */
+    private static final long FLUSH_MILLIS = 100;
+
+    private final DispatchSettings settings;
+    private final EventLog events = new TinyEventLog();
+    private final List<ThreadLane> lanes = new ArrayList<>();
+    private final NettyTransport transport;
+    private final HttpFront front;
+    private final SharedState state;
+    private final Lane control;
+    private final Lane traffic;
+    private final KeyedLog store;
+    private NodeLinks links;
+    private MemberDirectory directory;
+
+    DispatchDaemon(DispatchSettings settings, InetSocketAddress served) {
+        this.settings = settings;
+        this.transport = NettyTransport.create("netty", 1, events);
+        this.control = lane("control");
+        this.traffic = lane("traffic");
+        this.state = SharedState.create(events);
+        this.front = HttpFront.create(served.getAddress().getHostAddress(), served.getPort(), 1, events);
+        this.store = HttpKeyedLog.create(HttpCaller.on(front, STORE_CONNECTIONS), settings.store());
+    }
+
+    static Daemon start(DispatchSettings settings) {
+        DispatchDaemon daemon = settings.self().role() == Member.Role.ENTRY
+                ? new DispatchEntryDaemon(settings)
+                : new DispatchAgentDaemon(settings);
+        daemon.begin();
+        return daemon;
+    }
+
+    /** Returns what hears of connections and messages. */
+    abstract NodeLinks.Listener listener();
+
+    /** Serves, once the connections are there. */
+    abstract void serve();
+
+    /** Takes no new work and completes when nothing is under way any more. */
+    abstract CompletableFuture<Void> drain();
+
+    /** Tells whether the process must hear of all members and of the operator, or only make itself known. */
+    abstract boolean followsStore();
+
+    DispatchSettings settings() {
+        return settings;
+    }
+
+    HttpFront front() {
+        return front;
+    }
+
+    SharedState state() {
+        return state;
+    }
+
+    Lane control() {
+        return control;
+    }
+
+    Lane traffic() {
+        return traffic;
+    }
+
+    KeyedLog store() {
+        return store;
+    }
+
+    NodeLinks links() {
+        return links;
+    }
+
+    @Override
+    public int httpPort() {
+        return front.port();
+    }
+
+    @Override
+    public EventLog events() {
+        return events;
+    }
+
+    @Override
+    public void leave() {
+        events.write(Event.LEAVING, "requests");
+        Duration limit = Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE));
+        try {
+            drain().get(limit.toMillis(), TimeUnit.MILLISECONDS);
+            TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
+        } catch (ExecutionException | TimeoutException tooLong) {
+            events.write(Event.INTERNAL_ERROR, "the drain", tooLong);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        events.write(Event.STOPPED, "no more");
+    }
+
+    @Override
+    public void abort() {
+        links.stop();
+        front.close();
+        transport.close();
+        lanes.forEach(ThreadLane::close);
+    }
+
+    private void begin() {
+        Member self = settings.self();
+        Incarnation incarnation = Incarnation.fresh();
+        links = NodeLinks.create(self, incarnation, control, TimeSource.system(), transport::dial, listener(), events);
+        front.start();
+        transport.listen(self.host(), self.port(), links);
+        links.start();
+        directory = MemberDirectory.create(
+                self, store, control, links, MemberRecords::encode, MemberRecords::decode, events);
+        directory.publish();
+        if (followsStore()) {
+            directory.follow();
+        }
+        serve();
+        events.write(Event.STARTED, self.node(), incarnation, self.zone());
+    }
+
+    private Lane lane(String name) {
+        ThreadLane lane = ThreadLane.create(name, events);
+        lanes.add(lane);
+        return lane;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/daemon/DispatchEntryDaemon.java
@@ -0,0 +1,69 @@
+package org.gypsumflow.daemon;
+
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.SlowestFit;
+import org.gypsumflow.control.KeyedFollower;
+import org.gypsumflow.control.NodeLinks;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.http.HttpFront;
+import org.gypsumflow.http.HttpFront.Reply;
+import org.gypsumflow.platform.JobCalls;
+import org.gypsumflow.platform.OperatorRecords;
+import org.gypsumflow.traffic.DispatchEntry;
+
+/** The entry role on the users' platform. */
+final class DispatchEntryDaemon extends DispatchDaemon {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final DispatchEntry entry;
+    private volatile boolean leaving;
+
+    DispatchEntryDaemon(DispatchSettings settings) {
+        super(settings, settings.callers());
+        this.entry = DispatchEntry.create(traffic(), TimeSource.system(), SlowestFit.rule(), state(), events());
+        HttpFront front = front();
+        front.plain("/readyz", call -> CompletableFuture.completedFuture(readiness()));
+        JobCalls.register(
+                front, () -> state().known().table(), entry::submit, entry::cancel, entry::isUnderWay, events());
+    }
+
+    @Override
+    NodeLinks.Listener listener() {
+        return entry;
+    }
+
+    @Override
+    void serve() {
+        entry.start();
+        OperatorRecords records = OperatorRecords.create(
+                known -> {
+                    if (state().offer(known, "the store")) {
+                        entry.closuresChanged();
+                        links().links().forEach(link -> link.send(state().known()));
+                    }
+                },
+                events());
+        KeyedFollower.create(
+                        store(), OperatorRecords.TOPIC, control(), records::takeWhole, records::takeChanges, events())
+                .start();
+        front().alsoListen(settings().readiness());
+    }
+
+    @Override
+    CompletableFuture<Void> drain() {
+        leaving = true;
+        front().sendCallersAway();
+        return entry.drain();
+    }
+
+    @Override
+    boolean followsStore() {
+        return true;
+    }
+
+    private Reply readiness() {
+        boolean ready = !leaving && state().known().table().isKnown() && entry.hasAgents();
+        return ready ? Reply.text(OK, "ready") : Reply.text(UNAVAILABLE, leaving ? "leaving" : "not ready");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
@@ -0,0 +1,84 @@
+package org.gypsumflow.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Set;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.Check;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.ValidationException;
+
+/**
+ * What a daemon learns from its settings file when it runs on the users' platform.
+ *
+ * @param self the process, and where the others reach it
+ * @param callers where callers come, entries only
+ * @param readiness where the platform asks whether callers may come, entries only
+ * @param reports where the worker reports itself, agents only
+ * @param worker where the worker takes orders, as {@code host:port}, agents only
+ * @param store where the platform's store listens, as {@code host:port}
+ * @param metricsPort TCP port for metrics
+ * @param grace time between the request to stop and the end of the process at the platform's hands
+ */
+record DispatchSettings(
+        Member self,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress reports,
+        String worker,
+        String store,
+        int metricsPort,
+        Duration grace) {
+    private static final String TABLE = "dispatch";
+    private static final Set<String> ENTRY_ONLY = Set.of("dispatch.callers-address", "dispatch.readiness-address");
+    private static final Set<String> AGENT_ONLY = Set.of("dispatch.reports-address", "dispatch.worker-address");
+    private static final int MOST_PORT = 65_535;
+    private static final int MOST_GRACE_SECONDS = 3600;
+
+    /** Tells whether the settings are of this kind. */
+    static boolean areIn(SettingsReader reader) {
+        return reader.has(TABLE);
+    }
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @throws ValidationException if one is missing, wrong or unknown; the message names it and its value
+     */
+    static DispatchSettings read(SettingsReader reader) {
+        String role = reader.choice("role", "", Set.of(DaemonSettings.ENTRY, DaemonSettings.AGENT));
+        boolean entry = role.equals(DaemonSettings.ENTRY);
+        Member self = new Member(
+                NodeName.of(reader.text("name")),
+                entry ? Member.Role.ENTRY : Member.Role.AGENT,
+                AvailabilityZone.of(reader.text("zone")),
+                reader.text("host"),
+                reader.number("port", 0, 1, MOST_PORT));
+        DispatchSettings settings = new DispatchSettings(
+                self,
+                entry ? address(reader, "dispatch.callers-address") : null,
+                entry ? address(reader, "dispatch.readiness-address") : null,
+                entry ? null : address(reader, "dispatch.reports-address"),
+                entry ? "" : reader.text("dispatch.worker-address"),
+                reader.text("dispatch.store-address"),
+                reader.number("dispatch.metrics-port", 0, 0, MOST_PORT),
+                Duration.ofSeconds(reader.number("dispatch.grace-seconds", 6, 1, MOST_GRACE_SECONDS)));
+        reader.ignore(entry ? AGENT_ONLY : ENTRY_ONLY);
+        reader.finish();
+        return settings;
+    }
+
+    // Addresses are IP numbers, so that nothing is looked up.
+    @SuppressWarnings("DnsLookup")
+    private static InetSocketAddress address(SettingsReader reader, String name) {
+        String text = reader.text(name);
+        int colon = text.lastIndexOf(':');
+        Check.isTrue(colon > 0, name, "\"" + text + "\" must look like \"10.0.0.1:7101\"");
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException malformed) {
+            throw ValidationException.of(name, "\"" + text + "\" must look like \"10.0.0.1:7101\"");
+        }
+    }
+}
--- a/src/main/java/org/gypsumflow/daemon/Logs.java
+++ b/src/main/java/org/gypsumflow/daemon/Logs.java
@@ -4,9 +4,9 @@
 import org.gypsumflow.command.ClaimRecord;
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.command.OperationRecord;
+import org.gypsumflow.log.PlatformLog;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.StreamName;
-import org.gypsumflow.platform.PlatformLog;
-import org.gypsumflow.platform.TypedLog;
 import org.gypsumflow.wire.OperationCodec;
 import org.gypsumflow.wire.RecordCodec;
 
--- a/src/main/java/org/gypsumflow/daemon/Main.java
+++ b/src/main/java/org/gypsumflow/daemon/Main.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.ValidationException;
 import org.kohsuke.args4j.CmdLineException;
@@ -16,10 +18,15 @@
     static final int EXIT_CLEAN = 0;
     /** Exit code after a failure to start, such as a port that is taken. */
     static final int EXIT_FAILED = 1;
+    /** Environment variable that names the settings file when no option does. */
+    static final String SETTINGS_VARIABLE = "GYPSUMFLOW_CONFIG";
     /** Exit code after a wrong option or setting. */
     static final int EXIT_BAD_SETTING = 2;
 
-    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "TOML file with the settings")
+    @Option(
+            name = "--settings",
+            metaVar = "FILE",
+            usage = "TOML file with the settings; if missing, the file that " + SETTINGS_VARIABLE + " names")
     private Path settings;
 
     @Option(name = "--set", metaVar = "NAME=VALUE", usage = "setting that goes above the file; may be repeated")
@@ -43,10 +50,10 @@
         CmdLineParser parser = new CmdLineParser(this);
         try {
             parser.parseArgument(arguments);
-            SettingsReader reader = SettingsReader.of(settings);
-            overrides.forEach(reader::override);
-            DaemonSettings checked = DaemonSettings.read(reader);
-            return checkOnly ? EXIT_CLEAN : serve(checked);
+            SettingsReader reader = read();
+            return DispatchSettings.areIn(reader)
+                    ? serve(DispatchSettings.read(reader), DispatchDaemon::start)
+                    : serve(DaemonSettings.read(reader), Daemon::start);
         } catch (CmdLineException wrongOption) {
             System.err.println(wrongOption.getMessage());
             parser.printUsage(System.err);
@@ -57,16 +64,43 @@
         }
     }
 
+    private SettingsReader read() {
+        String variable = System.getenv(SETTINGS_VARIABLE);
+        Check.isTrue(settings != null || variable != null, "--settings", "is missing, and so is " + SETTINGS_VARIABLE);
+        SettingsReader reader = SettingsReader.of(settings != null ? settings : Path.of(variable));
+        overrides.forEach(reader::override);
+        return reader;
+    }
+
+    /** The addresses and times of a running process stay; a file that cannot be used is told at once. */
+    private void reload(Daemon daemon) {
+        try {
+            SettingsReader reader = read();
+            if (DispatchSettings.areIn(reader)) {
+                DispatchSettings.read(reader);
+            } else {
+                DaemonSettings.read(reader);
+            }
+            daemon.events().write(Event.SETTINGS_RELOADED, "no running value differs that can change");
+        } catch (ValidationException wrong) {
+            daemon.events().write(Event.SETTINGS_RELOADED, "refused, the running settings stay: " + wrong.getMessage());
+        }
+    }
+
     // A hook is the only way to hear SIGTERM, and a plain process has no server that manages it.
     @SuppressWarnings("ShutdownHook")
-    private static int serve(DaemonSettings settings) {
+    private <T> int serve(T checked, Function<T, Daemon> starter) {
+        if (checkOnly) {
+            return EXIT_CLEAN;
+        }
         Daemon daemon;
         try {
-            daemon = Daemon.start(settings);
+            daemon = starter.apply(checked);
         } catch (RuntimeException failure) {
             new TinyEventLog().write(Event.BAD_SETTING, failure);
             return EXIT_FAILED;
         }
+        HangupSignal.onEach(() -> reload(daemon));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/src/main/java/org/gypsumflow/daemon/SettingsReader.java
+++ b/src/main/java/org/gypsumflow/daemon/SettingsReader.java
@@ -187,6 +187,25 @@
         return values;
     }
 
+    /**
+     * Tells whether a setting or a table is there.
+     *
+     * @param name its name
+     * @return true if it is
+     */
+    public boolean has(String name) {
+        return root.has(name);
+    }
+
+    /**
+     * Accepts settings that belong to another role, whatever they hold.
+     *
+     * @param names names of the settings
+     */
+    public void ignore(Set<String> names) {
+        known.addAll(names);
+    }
+
     /**
      * Refuses settings that were never asked for.
      *
--- a/src/main/java/org/gypsumflow/http/HttpFront.java
+++ b/src/main/java/org/gypsumflow/http/HttpFront.java
@@ -2,22 +2,33 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.gypsumflow.model.ErrorCode;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
@@ -35,12 +46,20 @@
     /**
      * What a route must know of a request.
      *
+     * @param method HTTP method
      * @param path path after the route's prefix, without a slash at its start
      * @param headers reads a header, null if it is missing
      * @param parameters reads a query parameter, null if it is missing
      * @param body content, empty for a query
+     * @param abandoned completes if the caller's connection ends before the answer
      */
-    public record Call(String path, UnaryOperator<String> headers, UnaryOperator<String> parameters, byte[] body) {}
+    public record Call(
+            String method,
+            String path,
+            UnaryOperator<String> headers,
+            UnaryOperator<String> parameters,
+            byte[] body,
+            CompletableFuture<Void> abandoned) {}
 
     /**
      * What a route answers.
@@ -48,8 +67,9 @@
      * @param status HTTP status
      * @param contentType type of the content
      * @param body content
+     * @param headers further headers
      */
-    public record Reply(int status, String contentType, byte[] body) {
+    public record Reply(int status, String contentType, byte[] body, Map<String, String> headers) {
         /**
          * Creates an answer in JSON.
          *
@@ -59,7 +79,7 @@
          */
         public static Reply json(int status, Object content) {
             try {
-                return new Reply(status, "application/json", JSON.writeValueAsBytes(content));
+                return new Reply(status, "application/json", JSON.writeValueAsBytes(content), Map.of());
             } catch (JsonProcessingException impossible) {
                 throw new UncheckedIOException(impossible);
             }
@@ -73,7 +93,20 @@
          * @return the answer
          */
         public static Reply text(int status, String content) {
-            return new Reply(status, "text/plain; charset=utf-8", content.getBytes(StandardCharsets.UTF_8));
+            return new Reply(status, "text/plain; charset=utf-8", content.getBytes(StandardCharsets.UTF_8), Map.of());
+        }
+
+        /**
+         * Adds a header.
+         *
+         * @param name name of the header
+         * @param value its value
+         * @return an answer with the header
+         */
+        public Reply with(String name, String value) {
+            Map<String, String> more = new TreeMap<>(headers);
+            more.put(name, value);
+            return new Reply(status, contentType, body, Map.copyOf(more));
         }
     }
 
@@ -95,15 +128,15 @@
     private final NetworkListener listener;
     private final Map<Key, Route> routes = new ConcurrentHashMap<>();
     private final EventLog events;
+    private volatile Route otherwise;
+    private volatile boolean sendingAway;
 
     private HttpFront(String host, int port, int threads, EventLog events) {
         this.events = events;
         this.listener = new NetworkListener("http", host, port);
-        listener.getTransport()
-                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
-                        .setPoolName("http")
-                        .setCorePoolSize(threads)
-                        .setMaxPoolSize(threads));
+        listener.getTransport().setSelectorRunnersCount(threads);
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        listener.getFileCache().setEnabled(false);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new Dispatch(), "/");
     }
@@ -170,6 +203,26 @@
         return this;
     }
 
+    /**
+     * Sets what answers a call to a path without a route; its call carries the whole path.
+     *
+     * @param route answers the calls
+     * @return this server
+     */
+    public HttpFront otherwise(Route route) {
+        this.otherwise = route;
+        return this;
+    }
+
+    /**
+     * Returns the transport, so that a client can share its thread.
+     *
+     * @return Grizzly's transport
+     */
+    TCPNIOTransport transport() {
+        return listener.getTransport();
+    }
+
     /**
      * Listens from now on.
      *
@@ -185,6 +238,36 @@
         }
     }
 
+    /**
+     * Returns the port on which it listens.
+     *
+     * @return the TCP port
+     */
+    public int port() {
+        return listener.getPort();
+    }
+
+    /**
+     * Listens at a further address, on the same thread and with the same routes.
+     *
+     * @param address where to listen
+     * @throws UncheckedIOException if the address is taken
+     */
+    public void alsoListen(SocketAddress address) {
+        try {
+            listener.getTransport().bind(address);
+        } catch (IOException taken) {
+            throw new UncheckedIOException(taken);
+        }
+    }
+
+    /**
+     * Asks callers, with each answer from now on, to close their connection and come back by another.
+     */
+    public void sendCallersAway() {
+        sendingAway = true;
+    }
+
     /** Answers the calls under way and stops listening. */
     @Override
     public void close() {
@@ -208,46 +291,96 @@
 
     private final class Dispatch extends HttpHandler {
         @Override
-        public void service(Request request, Response response) throws IOException {
-            Optional<Refusal> refusal = refusalOf(request);
-            if (refusal.isPresent()) {
-                write(response, refused(refusal.get()));
-                return;
-            }
-            byte[] body = request.getInputStream().readNBytes(MOST_BODY_BYTES + 1);
-            if (body.length > MOST_BODY_BYTES) {
+        public void service(Request request, Response response) {
+            if (request.getContentLengthLong() > MOST_BODY_BYTES) {
                 write(response, refused(bodyTooLarge()));
                 return;
             }
-            Optional<Map.Entry<Key, Route>> route =
-                    find(request.getMethod().getMethodString(), request.getRequestURI());
-            if (route.isEmpty()) {
-                String message = request.getMethod() + " " + request.getRequestURI() + " does not exist";
-                write(response, refused(Refusal.notRun(ErrorCode.NOT_FOUND, message)));
+            NIOInputStream input = request.getNIOInputStream();
+            response.suspend();
+            input.notifyAvailable(new BodyReader(input, request, response));
+        }
+    }
+
+    /** Collects a body as it comes, so that a slow caller holds no thread. */
+    private final class BodyReader implements ReadHandler {
+        private final NIOInputStream input;
+        private final Request request;
+        private final Response response;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        private BodyReader(NIOInputStream input, Request request, Response response) {
+            this.input = input;
+            this.request = request;
+            this.response = response;
+        }
+
+        @Override
+        public void onDataAvailable() throws IOException {
+            collect();
+            input.notifyAvailable(this);
+        }
+
+        @Override
+        public void onAllDataRead() throws IOException {
+            collect();
+            if (body.size() > MOST_BODY_BYTES) {
+                finish(response, refused(bodyTooLarge()));
                 return;
             }
-            String path = request.getRequestURI()
-                    .substring(route.get().getKey().path().length());
-            Call call = new Call(
-                    path.startsWith("/") ? path.substring(1) : path, request::getHeader, request::getParameter, body);
-            response.suspend();
-            answer(route.get().getValue(), call, response);
+            dispatch(request, response, body.toByteArray());
         }
 
-        private Optional<Refusal> refusalOf(Request request) {
-            if (request.getContentLengthLong() > MOST_BODY_BYTES) {
-                return Optional.of(bodyTooLarge());
+        @Override
+        public void onError(Throwable failure) {
+            response.resume();
+        }
+
+        private void collect() throws IOException {
+            int available = input.available();
+            if (available > 0) {
+                body.write(input.readNBytes(available));
             }
-            boolean known = Method.GET.equals(request.getMethod()) || Method.POST.equals(request.getMethod());
-            return known
-                    ? Optional.empty()
-                    : Optional.of(Refusal.notRun(
-                            ErrorCode.INVALID_REQUEST, "method " + request.getMethod() + " is not supported"));
         }
+    }
+
+    private static Refusal bodyTooLarge() {
+        return Refusal.notRun(ErrorCode.BODY_TOO_LARGE, "the body is larger than " + MOST_BODY_BYTES + " bytes");
+    }
 
-        private Refusal bodyTooLarge() {
-            return Refusal.notRun(ErrorCode.BODY_TOO_LARGE, "the body is larger than " + MOST_BODY_BYTES + " bytes");
+    private void dispatch(Request request, Response response, byte[] body) {
+        String method = request.getMethod().getMethodString();
+        Optional<Map.Entry<Key, Route>> route = find(method, request.getRequestURI());
+        if (route.isEmpty() && otherwise == null) {
+            boolean known = Method.GET.equals(request.getMethod()) || Method.POST.equals(request.getMethod());
+            String message = method + " " + request.getRequestURI() + " does not exist";
+            finish(
+                    response,
+                    refused(
+                            known
+                                    ? Refusal.notRun(ErrorCode.NOT_FOUND, message)
+                                    : Refusal.notRun(
+                                            ErrorCode.INVALID_REQUEST, "method " + method + " is not supported")));
+            return;
         }
+        int prefix = route.map(found -> found.getKey().path().length()).orElse(0);
+        String path = request.getRequestURI().substring(prefix);
+        boolean stripped = route.isPresent() && path.startsWith("/");
+        CompletableFuture<Void> abandoned = new CompletableFuture<>();
+        CloseListener<Closeable, CloseType> closed = (connection, type) -> abandoned.complete(null);
+        Connection<?> connection = request.getContext().getConnection();
+        connection.addCloseListener(closed);
+        Call call = new Call(
+                method,
+                stripped ? path.substring(1) : path,
+                request::getHeader,
+                request::getParameter,
+                body,
+                abandoned);
+        answer(route.map(Map.Entry::getValue).orElse(otherwise), call).whenComplete((reply, failure) -> {
+            connection.removeCloseListener(closed);
+            finish(response, failure == null ? reply : refused(refusalOf(failure)));
+        });
     }
 
     private Optional<Map.Entry<Key, Route>> find(String method, String path) {
@@ -258,19 +391,17 @@
                 .findFirst();
     }
 
-    private void answer(Route route, Call call, Response response) {
-        CompletableFuture<Reply> reply;
+    private static CompletableFuture<Reply> answer(Route route, Call call) {
         try {
-            reply = route.answer(call);
+            return route.answer(call);
         } catch (RuntimeException failure) {
-            reply = CompletableFuture.failedFuture(failure);
+            return CompletableFuture.failedFuture(failure);
         }
-        reply.whenCompleteAsync(
-                (content, failure) -> {
-                    write(response, failure == null ? content : refused(refusalOf(failure)));
-                    response.resume();
-                },
-                listener.getTransport().getWorkerThreadPool());
+    }
+
+    private void finish(Response response, Reply reply) {
+        write(response, reply);
+        response.resume();
     }
 
     private Refusal refusalOf(Throwable failure) {
@@ -284,6 +415,10 @@
     private void write(Response response, Reply reply) {
         try {
             response.setStatus(reply.status());
+            reply.headers().forEach(response::setHeader);
+            if (sendingAway) {
+                response.setHeader(Header.Connection, "close");
+            }
             response.setContentType(reply.contentType());
             response.setContentLength(reply.body().length);
             response.getOutputStream().write(reply.body());
--- a/src/main/java/org/gypsumflow/platform/HttpPlatformLog.java
+++ b/src/main/java/org/gypsumflow/http/HttpPlatformLog.java
@@ -1,4 +1,4 @@
-package org.gypsumflow.platform;
+package org.gypsumflow.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.log.PlatformLog;
 import org.gypsumflow.model.StreamName;
 
 /** Reaches the platform's log over HTTP. */
--- a/src/main/java/org/gypsumflow/http/HttpTarget.java
+++ b/src/main/java/org/gypsumflow/http/HttpTarget.java
@@ -16,8 +16,6 @@
 import org.gypsumflow.model.TraceParent;
 import org.gypsumflow.model.Tracing;
 import org.gypsumflow.model.Verdict;
-import org.gypsumflow.platform.HttpCaller;
-import org.gypsumflow.platform.HttpCaller.Answer;
 import org.gypsumflow.traffic.TargetPort;
 
 /** Runs tasks on the target beside the agent over HTTP. */
@@ -77,7 +75,7 @@
                                 : RefusalException.refusalOf(failure).verdict()));
     }
 
-    private static CompletableFuture<String> read(TaskId task, Answer answer) {
+    private static CompletableFuture<String> read(TaskId task, HttpCaller.Answer answer) {
         if (answer.status() == OK) {
             return readResult(task, answer.body());
         }
--- a/src/main/java/org/gypsumflow/platform/PlatformLog.java
+++ b/src/main/java/org/gypsumflow/log/PlatformLog.java
@@ -1,4 +1,4 @@
-package org.gypsumflow.platform;
+package org.gypsumflow.log;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/org/gypsumflow/platform/TypedLog.java
+++ b/src/main/java/org/gypsumflow/log/TypedLog.java
@@ -1,11 +1,11 @@
-package org.gypsumflow.platform;
+package org.gypsumflow.log;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.gypsumflow.log.PlatformLog.Appended;
+import org.gypsumflow.log.PlatformLog.Entry;
+import org.gypsumflow.log.PlatformLog.Page;
 import org.gypsumflow.model.StreamName;
-import org.gypsumflow.platform.PlatformLog.Appended;
-import org.gypsumflow.platform.PlatformLog.Entry;
-import org.gypsumflow.platform.PlatformLog.Page;
 
 /**
  * One stream of the platform's log with typed records.
--- /dev/null
+++ b/src/main/java/org/gypsumflow/model/BestEffortJob.java
@@ -0,0 +1,23 @@
+package org.gypsumflow.model;
+
+import java.time.Duration;
+
+/**
+ * A job of one step that is not stored: its caller waits for the answer and sends it again if none comes.
+ *
+ * @param id chosen by the caller
+ * @param route route that the job came by
+ * @param specification what the worker is told to run
+ * @param count number of tasks
+ * @param task what each task needs
+ * @param estimate rough running time of one task, may be far off
+ */
+public record BestEffortJob(JobId id, Route route, String specification, int count, Resources task, Duration estimate) {
+    /** Most tasks in a job. */
+    public static final int MOST_TASKS = 10_000;
+
+    /** Validates the numbers. */
+    public BestEffortJob {
+        Check.range("count", count, 1, MOST_TASKS);
+    }
+}
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -52,6 +52,36 @@
     CLAIM_ABANDONED(500, Level.WARN, "claim of submission {} given up, nothing started: {}"),
     /** The holder of a claim is gone. */
     HOLDER_LOST(501, Level.WARN, "holder of submission {} is gone, {} of {} outcomes found at the agents"),
+    /** A job that is not stored was given up. */
+    JOB_GIVEN_UP(500, Level.WARN, "job {} of route {} given up, may have run: {}, agents known: {}: {}"),
+    /** A job that is not stored ended before its tasks did. */
+    JOB_ENDED_EARLY(501, Level.INFO, "job {} of route {} ended early: {}"),
+    /** An agent could not start a task. */
+    START_REFUSED(502, Level.WARN, "worker refused task {} run {}: {}"),
+    /** A worker does not answer. */
+    WORKER_SILENT(503, Level.WARN, "worker does not answer {}: {}"),
+    /** A worker reported itself or changed. */
+    WORKER_CHANGED(504, Level.INFO, "worker {} born {} of service {}, draining: {}, capacity {}"),
+    /** A task was stopped because it stood still. */
+    TASK_STUCK(505, Level.WARN, "stopped task {} run {}: {} ms of about {} ms, {} percent done"),
+    /** An entry's orders were dropped because the entry is out of touch. */
+    ENTRY_ORDERS_DROPPED(506, Level.WARN, "dropped {} orders of entry {}: {}"),
+    /** A connection between processes of the system opened. */
+    NODE_CONNECTED(507, Level.INFO, "connected to {} {} in zone {}, incarnation {}"),
+    /** A connection between processes of the system ended. */
+    NODE_LOST(508, Level.WARN, "connection to {} {} ended: {}"),
+    /** The platform's store does not answer. */
+    STORE_LOST(509, Level.WARN, "the platform's store does not answer {}: {}"),
+    /** The platform's store answers again. */
+    STORE_REGAINED(510, Level.INFO, "the platform's store answers again"),
+    /** Routes came into force. */
+    ROUTES_IN_FORCE(511, Level.INFO, "routes of version {} are in force, {} routes, learnt from {}"),
+    /** The set of zones that are being emptied changed. */
+    CLOSURES_IN_FORCE(512, Level.INFO, "zones that get no tasks: {}, as of record {}, learnt from {}"),
+    /** A message of an outside party could not be read. */
+    UNREADABLE(513, Level.WARN, "ignored {}: {}"),
+    /** The settings were read again. */
+    SETTINGS_RELOADED(514, Level.INFO, "settings read again: {}"),
     /** A request failed inside the system. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- /dev/null
+++ b/src/main/java/org/gypsumflow/model/Member.java
@@ -0,0 +1,20 @@
+package org.gypsumflow.model;
+
+/**
+ * Where a process of the system is reached by the others.
+ *
+ * @param node its host
+ * @param role what it does
+ * @param zone its availability zone
+ * @param host IP number on which it listens
+ * @param port TCP port on which it listens
+ */
+public record Member(NodeName node, Role role, AvailabilityZone zone, String host, int port) {
+    /** What a process does. */
+    public enum Role {
+        /** Takes jobs from callers. */
+        ENTRY,
+        /** Starts tasks on the worker beside it. */
+        AGENT
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/model/Route.java
@@ -0,0 +1,27 @@
+package org.gypsumflow.model;
+
+import java.time.Duration;
+
+/**
+ * Tells which jobs go to which service, and how soon their callers want the answer.
+ *
+ * @param name name of the route
+ * @param host host name that callers give
+ * @param pathPrefix path that the job's path begins with
+ * @param service service whose workers run the tasks
+ * @param priority 0 goes first
+ * @param attempts how often a task may fail before its job has failed
+ * @param stretch objective as a multiple of the longest task's running time
+ * @param allowance time that the objective allows beyond that
+ * @param timeout how long the route lets a caller wait
+ */
+public record Route(
+        RouteName name,
+        String host,
+        String pathPrefix,
+        ServiceName service,
+        int priority,
+        int attempts,
+        double stretch,
+        Duration allowance,
+        Duration timeout) {}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/platform/HttpWorker.java
@@ -0,0 +1,144 @@
+package org.gypsumflow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.http.HttpCaller;
+import org.gypsumflow.http.HttpCaller.Answer;
+import org.gypsumflow.model.Check;
+import org.gypsumflow.model.RunNumber;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.WorkerCall.Account;
+import org.gypsumflow.model.WorkerCall.Finished;
+import org.gypsumflow.model.WorkerCall.Renewal;
+import org.gypsumflow.model.WorkerCall.Running;
+import org.gypsumflow.model.WorkerCall.StartAnswer;
+import org.gypsumflow.model.WorkerCall.StartReply;
+import org.gypsumflow.traffic.WorkerPort;
+
+/** Calls the worker beside an agent over HTTP. */
+public final class HttpWorker implements WorkerPort {
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    /** Longest wait for an answer to a start or a stop; the call stays on one machine and takes a few milliseconds. */
+    private static final Duration ANSWER_WITHIN = Duration.ofMillis(400);
+
+    private static final Map<String, String> JSON_BODY = Map.of("Content-Type", "application/json");
+
+    private final HttpCaller caller;
+    private final String baseUrl;
+
+    private HttpWorker(HttpCaller caller, String address) {
+        this.caller = caller;
+        this.baseUrl = "http://" + address;
+    }
+
+    /**
+     * Creates the client.
+     *
+     * @param caller sends the calls
+     * @param address where the worker takes calls, as {@code host:port}
+     * @return the client
+     */
+    public static HttpWorker create(HttpCaller caller, String address) {
+        return new HttpWorker(caller, address);
+    }
+
+    @Override
+    public CompletableFuture<StartAnswer> start(
+            TaskName task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("task", TaskNames.write(task));
+        body.put("run", run.value());
+        body.put("spec", specification);
+        body.put("untilMs", leaseUntilMillis);
+        body.put("fencingToken", fencingToken);
+        return post("/run-start", body, ANSWER_WITHIN).thenApply(HttpWorker::startAnswer);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop(TaskName task, RunNumber run, long fencingToken) {
+        Map<String, Object> body =
+                Map.of("task", TaskNames.write(task), "run", run.value(), "fencingToken", fencingToken);
+        return post("/run-stop", body, ANSWER_WITHIN).thenAccept(answer -> requireOk(answer, "a stop"));
+    }
+
+    @Override
+    public CompletableFuture<Account> renew(Renewal renewal) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("fencingToken", renewal.fencingToken());
+        body.put("ackedThrough", renewal.acknowledged());
+        if (renewal.leaseUntilMillis() >= 0) {
+            body.put("untilMs", renewal.leaseUntilMillis());
+        }
+        if (!renewal.longestWait().isZero()) {
+            body.put("waitMs", renewal.longestWait().toMillis());
+        }
+        return post("/hold", body, ANSWER_WITHIN.plus(renewal.longestWait())).thenApply(answer -> {
+            requireOk(answer, "a renewal");
+            return account(Json.object(answer.body()));
+        });
+    }
+
+    static StartAnswer startAnswer(Answer answer) {
+        JsonNode body = answer.body().length == 0 ? null : Json.object(answer.body());
+        long clock = body != null && body.path("clockMs").isIntegralNumber()
+                ? body.path("clockMs").longValue()
+                : -1;
+        if (answer.status() == OK) {
+            return new StartAnswer(StartReply.STARTED, clock);
+        }
+        if (answer.status() != CONFLICT || body == null) {
+            return new StartAnswer(StartReply.REFUSED, clock);
+        }
+        StartReply reply =
+                switch (body.path("reason").asText()) {
+                    case "fence" -> StartReply.FENCED;
+                    case "old" -> StartReply.OLD_RUN;
+                    case "late" -> StartReply.TOO_LATE;
+                    case "room" -> StartReply.NO_ROOM;
+                    default -> StartReply.REFUSED;
+                };
+        return new StartAnswer(reply, clock);
+    }
+
+    static Account account(JsonNode body) {
+        List<Running> running = new ArrayList<>();
+        for (JsonNode row : body.path("running")) {
+            running.add(new Running(
+                    TaskNames.read(row.path(0).asText()),
+                    RunNumber.of(row.path(1).asInt()),
+                    row.path(3).asInt()));
+        }
+        List<Finished> finished = new ArrayList<>();
+        for (JsonNode row : body.path("finished")) {
+            finished.add(new Finished(
+                    row.path(0).asLong(),
+                    TaskNames.read(row.path(1).asText()),
+                    RunNumber.of(row.path(2).asInt()),
+                    ending(row.path(3).asText())));
+        }
+        return new Account(Json.wholeOrZero(body, "born"), Json.whole(body, "clockMs"), running, finished);
+    }
+
+    private static TaskEnding ending(String how) {
+        return switch (how) {
+            case "done" -> TaskEnding.DONE;
+            case "failed" -> TaskEnding.FAILED;
+            default -> TaskEnding.LOST;
+        };
+    }
+
+    private static void requireOk(Answer answer, String call) {
+        Check.isTrue(answer.status() == OK, call, "was answered with status " + answer.status());
+    }
+
+    private CompletableFuture<Answer> post(String path, Map<String, Object> body, Duration timeout) {
+        return caller.post(baseUrl + path, JSON_BODY, Json.write(body), timeout);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/platform/OperatorRecords.java
@@ -0,0 +1,112 @@
+package org.gypsumflow.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.gypsumflow.log.KeyedLog.KeyedRecord;
+import org.gypsumflow.log.KeyedLog.Page;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.DispatchMessage.Closures;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
+import org.gypsumflow.model.RoutingTable;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.ValidationException;
+
+/** Reads what the operator writes to the store; used on one lane. */
+public final class OperatorRecords {
+    /** Topic of the operator's records. */
+    public static final String TOPIC = "keyed.op";
+
+    private static final String ROUTES_KEY = "op/config";
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
+
+    private final Consumer<ShareState> known;
+    private final EventLog events;
+    private final Set<AvailabilityZone> zones = new TreeSet<>();
+    private RoutingTable table = RoutingTable.UNKNOWN;
+
+    private OperatorRecords(Consumer<ShareState> known, EventLog events) {
+        this.known = known;
+        this.events = events;
+    }
+
+    /**
+     * Creates a reader that has read nothing.
+     *
+     * @param known takes the routes and closures after each page
+     * @param events receives numbered events
+     * @return the reader
+     */
+    public static OperatorRecords create(Consumer<ShareState> known, EventLog events) {
+        return new OperatorRecords(known, events);
+    }
+
+    /**
+     * Takes the newest record of each key, in place of all read before.
+     *
+     * @param page the records
+     */
+    public void takeWhole(Page page) {
+        zones.clear();
+        takeChanges(page);
+    }
+
+    /**
+     * Takes records in order.
+     *
+     * @param page the records
+     */
+    public void takeChanges(Page page) {
+        page.records().forEach(this::take);
+        known.accept(new ShareState(table, new Closures(page.end(), zones)));
+    }
+
+    private void take(KeyedRecord record) {
+        try {
+            String key = record.key();
+            if (key.equals(ROUTES_KEY) && record.value().length > 0) {
+                table = routes(Json.object(record.value()));
+            } else if (key.startsWith(EVACUATION_PREFIX)) {
+                AvailabilityZone zone = AvailabilityZone.of(key.substring(EVACUATION_PREFIX.length()));
+                if (record.value().length > 0) {
+                    zones.add(zone);
+                } else {
+                    zones.remove(zone);
+                }
+            }
+        } catch (ValidationException unreadable) {
+            events.write(Event.UNREADABLE, "record " + record.key() + " of the operator", unreadable.getMessage());
+        }
+    }
+
+    static RoutingTable routes(JsonNode body) {
+        List<Route> routes = new ArrayList<>();
+        for (JsonNode route : body.path("routes")) {
+            routes.add(new Route(
+                    RouteName.of(Json.text(route, "name")),
+                    Json.optionalText(route, "host").orElse(""),
+                    Json.text(route, "pathPrefix"),
+                    ServiceName.of(Json.text(route, "service")),
+                    (int) Json.wholeOrZero(route, "priority"),
+                    (int) Math.max(1, Json.wholeOrZero(route, "maxAttempts")),
+                    Json.numberOr(route, "stretch", 1),
+                    Duration.ofMillis((long) Json.numberOr(route, "targetLatencyMs", 0)),
+                    Duration.ofMillis((long) Json.numberOr(route, "timeoutMs", 0))));
+        }
+        Set<ServiceName> guarded = new TreeSet<>();
+        for (JsonNode service : body.path("services")) {
+            if (Json.flag(service, "enforcesCapacity")) {
+                guarded.add(ServiceName.of(Json.text(service, "name")));
+            }
+        }
+        return new RoutingTable(Json.whole(body, "version"), List.copyOf(routes), Set.copyOf(guarded));
+    }
+}
--- a/src/main/java/org/gypsumflow/platform/package-info.java
+++ b/src/main/java/org/gypsumflow/platform/package-info.java
@@ -1,2 +1,2 @@
-/** The platform's log service behind a small interface, and the HTTP client that reaches it. */
+/** Speaks the users' platform: its names, formats and calls, translated once into types of ours. Decides nothing. */
 package org.gypsumflow.platform;
--- a/src/main/java/org/gypsumflow/standin/TargetStandIn.java
+++ b/src/main/java/org/gypsumflow/standin/TargetStandIn.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.gypsumflow.http.HttpCaller;
 import org.gypsumflow.http.HttpFront;
 import org.gypsumflow.http.HttpFront.Call;
 import org.gypsumflow.http.HttpFront.Reply;
@@ -20,7 +21,6 @@
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.WorkerName;
-import org.gypsumflow.platform.HttpCaller;
 
 /**
  * A stand-in for a target: runs a task for the number of milliseconds that its payload names.
--- a/src/main/java/org/gypsumflow/traffic/AgentPorts.java
+++ b/src/main/java/org/gypsumflow/traffic/AgentPorts.java
@@ -3,9 +3,9 @@
 import org.gypsumflow.command.MemberRecord;
 import org.gypsumflow.control.Dialer;
 import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Tracing;
-import org.gypsumflow.platform.TypedLog;
 
 /**
  * Everything an agent needs from outside.
--- a/src/main/java/org/gypsumflow/traffic/ClaimStream.java
+++ b/src/main/java/org/gypsumflow/traffic/ClaimStream.java
@@ -18,12 +18,12 @@
 import org.gypsumflow.control.Lane;
 import org.gypsumflow.control.LogReader;
 import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.log.PlatformLog.Appended;
+import org.gypsumflow.log.PlatformLog.Page;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.ClaimNonce;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.SubmissionDigest;
-import org.gypsumflow.platform.PlatformLog.Appended;
-import org.gypsumflow.platform.PlatformLog.Page;
-import org.gypsumflow.platform.TypedLog;
 
 /**
  * Claims submissions in one stream of the log, many in one append.
--- /dev/null
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -0,0 +1,234 @@
+package org.gypsumflow.traffic;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.AgentDesk;
+import org.gypsumflow.command.AgentDesk.OwnedEnd;
+import org.gypsumflow.command.DispatchLimits;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.control.NodeLinks;
+import org.gypsumflow.control.SharedState;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.DispatchMessage;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.GiveUpJob;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.DispatchMessage.StartOrders;
+import org.gypsumflow.model.DispatchMessage.StopOrders;
+import org.gypsumflow.model.DispatchMessage.WorkerRoom;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.WorkerReport;
+
+/** The traffic of an agent: orders in, ends and room out; its state belongs to the traffic lane. */
+public final class DispatchAgent implements NodeLinks.Listener {
+    /** Reports are repeated after this time even if nothing changed, in case one was lost with a connection. */
+    private static final Duration REPEAT = Duration.ofSeconds(1);
+
+    private static final class Owner {
+        private final Link link;
+        private WorkerRoom told;
+        private long toldNanos;
+
+        private Owner(Link link) {
+            this.link = link;
+        }
+    }
+
+    private final Lane traffic;
+    private final TimeSource time;
+    private final EventLog events;
+    private final SharedState state;
+    private final AgentDesk desk = AgentDesk.create();
+    private final WorkerDriver driver;
+    private final Map<NodeName, Owner> owners = new HashMap<>();
+    private final Map<NodeName, List<Ended>> ended = new HashMap<>();
+    private CompletableFuture<Void> drained;
+    private long tickMillis;
+    private boolean stopped;
+
+    private DispatchAgent(Lane traffic, TimeSource time, WorkerPort worker, SharedState state, EventLog events) {
+        this.traffic = traffic;
+        this.time = time;
+        this.events = events;
+        this.state = state;
+        this.driver = new WorkerDriver(traffic, time, desk, worker, events, this::ended);
+    }
+
+    /**
+     * Creates the traffic of an agent.
+     *
+     * @param traffic the traffic lane
+     * @param time tells the time
+     * @param worker calls the worker
+     * @param state routes and closures
+     * @param events receives numbered events
+     * @return the traffic
+     */
+    public static DispatchAgent create(
+            Lane traffic, TimeSource time, WorkerPort worker, SharedState state, EventLog events) {
+        return new DispatchAgent(traffic, time, worker, state, events);
+    }
+
+    /** Begins to watch the time. */
+    public void start() {
+        tickMillis = time.millis();
+        traffic.every(DispatchLimits.REPORT, () -> {
+            tick();
+            return !stopped;
+        });
+    }
+
+    /** Stops at once. */
+    public void stop() {
+        traffic.execute(() -> stopped = true);
+    }
+
+    /**
+     * Takes no more orders and waits for those that run.
+     *
+     * @return completes when nothing runs any more
+     */
+    public CompletableFuture<Void> drain() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        traffic.execute(() -> {
+            drained = done;
+            desk.leave(time.nanos());
+            act();
+        });
+        return done;
+    }
+
+    /**
+     * Takes a worker's report.
+     *
+     * @param report the report
+     */
+    public void workerReported(WorkerReport report) {
+        traffic.execute(() -> {
+            driver.reported(report);
+            act();
+        });
+    }
+
+    /**
+     * Takes note that the worker has left.
+     *
+     * @param worker id of the worker
+     */
+    public void workerLeft(String worker) {
+        traffic.execute(() -> {
+            desk.workerLeft(worker, time.nanos());
+            act();
+        });
+    }
+
+    /** Takes the closures that are now known. */
+    public void closuresChanged() {
+        traffic.execute(() -> {
+            desk.close(state.known().closures().zones(), time.nanos());
+            act();
+        });
+    }
+
+    @Override
+    public void connected(Member member, Link link) {
+        traffic.execute(() -> owners.put(member.node(), new Owner(link)));
+    }
+
+    @Override
+    public void lost(Member member, long heardNanos) {
+        traffic.execute(() -> {
+            owners.remove(member.node());
+            int orders = desk.entryLost(member.node(), time.nanos());
+            if (orders > 0) {
+                events.write(Event.ENTRY_ORDERS_DROPPED, orders, member.node(), "out of touch");
+            }
+            act();
+        });
+    }
+
+    @Override
+    public void message(NodeName from, DispatchMessage message) {
+        traffic.execute(() -> {
+            noticePause();
+            long now = time.nanos();
+            if (message instanceof StartOrders start) {
+                start.orders().forEach(order -> desk.order(from, order, now));
+            } else if (message instanceof StopOrders stop) {
+                desk.stop(from, stop.job(), stop.indexes(), now);
+            } else if (message instanceof GiveUpJob giveUp) {
+                desk.stopJob(giveUp.job(), now);
+            }
+            act();
+        });
+    }
+
+    @Override
+    public void shared(NodeName from, ShareState shared) {
+        if (state.offer(shared, "host " + from)) {
+            closuresChanged();
+        }
+    }
+
+    private void tick() {
+        noticePause();
+        desk.tick(time.nanos())
+                .forEach(run ->
+                        events.write(Event.TASK_STUCK, run.task(), run.run().value(), "", "", ""));
+        act();
+        for (Map.Entry<NodeName, Owner> each : owners.entrySet()) {
+            tellIfChanged(each.getKey(), each.getValue());
+        }
+    }
+
+    private void noticePause() {
+        long now = time.millis();
+        long gap = now - tickMillis;
+        tickMillis = now;
+        if (gap > DispatchLimits.PAUSE.toMillis()) {
+            events.write(Event.PAUSED, gap);
+            desk.paused(time.nanos());
+        }
+    }
+
+    private void act() {
+        driver.act();
+        ended.forEach((name, ends) -> {
+            Owner owner = owners.get(name);
+            if (owner != null) {
+                tell(owner, ends, desk.roomFor(name, time.nanos()));
+            }
+        });
+        ended.clear();
+        if (drained != null && desk.size() == 0) {
+            drained.complete(null);
+        }
+    }
+
+    private void ended(OwnedEnd end) {
+        ended.computeIfAbsent(end.owner(), owner -> new ArrayList<>()).add(end.ended());
+    }
+
+    private void tellIfChanged(NodeName name, Owner owner) {
+        WorkerRoom room = desk.roomFor(name, time.nanos());
+        boolean repeat = time.nanos() - owner.toldNanos > REPEAT.toNanos();
+        if (repeat || !room.equals(owner.told)) {
+            tell(owner, List.of(), room);
+        }
+    }
+
+    private void tell(Owner owner, List<Ended> ends, WorkerRoom room) {
+        owner.told = room;
+        owner.toldNanos = time.nanos();
+        owner.link.send(new AgentReport(ends, room));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/traffic/DispatchEntry.java
@@ -0,0 +1,242 @@
+package org.gypsumflow.traffic;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.DispatchLimits;
+import org.gypsumflow.command.JobDispatcher;
+import org.gypsumflow.command.JobPorts;
+import org.gypsumflow.command.PlacementRule;
+import org.gypsumflow.command.WorkerBoard;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.control.NodeLinks;
+import org.gypsumflow.control.SharedState;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.DispatchMessage;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.GiveUpJob;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.DispatchMessage.StartOrders;
+import org.gypsumflow.model.DispatchMessage.StopOrders;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.JobAnswer;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.NodeName;
+
+/** The traffic of an entry: jobs in, orders out, answers back; its state belongs to the traffic lane. */
+public final class DispatchEntry implements NodeLinks.Listener {
+    private final Lane traffic;
+    private final TimeSource time;
+    private final EventLog events;
+    private final SharedState state;
+    private final Map<NodeName, Link> agents = new HashMap<>();
+    private final Map<NodeName, Link> peers = new HashMap<>();
+    private final WorkerBoard board = WorkerBoard.create();
+    private final JobDispatcher dispatcher;
+    private CompletableFuture<Void> drained;
+    private long tickMillis;
+    private volatile int agentsInTouch;
+    private boolean stopped;
+
+    private DispatchEntry(Lane traffic, TimeSource time, PlacementRule rule, SharedState state, EventLog events) {
+        this.traffic = traffic;
+        this.time = time;
+        this.events = events;
+        this.state = state;
+        this.dispatcher = JobDispatcher.create(board, rule, new JobPorts(this::start, this::stop), events);
+    }
+
+    /**
+     * Creates the traffic of an entry.
+     *
+     * @param traffic the traffic lane
+     * @param time tells the time
+     * @param rule chooses workers
+     * @param state routes and closures
+     * @param events receives numbered events
+     * @return the traffic
+     */
+    public static DispatchEntry create(
+            Lane traffic, TimeSource time, PlacementRule rule, SharedState state, EventLog events) {
+        return new DispatchEntry(traffic, time, rule, state, events);
+    }
+
+    /** Begins to watch the time. */
+    public void start() {
+        tickMillis = time.millis();
+        traffic.every(DispatchLimits.REPORT, () -> {
+            noticePause();
+            dispatcher.tick(time.nanos());
+            finishDrain();
+            return !stopped;
+        });
+    }
+
+    /** Stops at once. */
+    public void stop() {
+        traffic.execute(() -> stopped = true);
+    }
+
+    /**
+     * Waits until no job is under way.
+     *
+     * @return completes when there is none
+     */
+    public CompletableFuture<Void> drain() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        traffic.execute(() -> {
+            drained = done;
+            finishDrain();
+        });
+        return done;
+    }
+
+    /**
+     * Takes a job.
+     *
+     * @param job the job
+     * @param timeLeft how long the caller waits
+     * @param abandoned completes if the caller is gone before the answer
+     * @return the final answer
+     */
+    public CompletableFuture<JobAnswer> submit(
+            BestEffortJob job, Duration timeLeft, CompletableFuture<Void> abandoned) {
+        CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+        abandoned.thenRunAsync(() -> leaveTo(job.id(), answer), traffic);
+        traffic.execute(() -> {
+            noticePause();
+            dispatcher.submit(job, time.nanos(), timeLeft, answer::complete);
+        });
+        return answer;
+    }
+
+    /**
+     * Cancels a job here and wherever else it is under way.
+     *
+     * @param job the job
+     * @return true if it was under way at this entry
+     */
+    public CompletableFuture<Boolean> cancel(JobId job) {
+        CompletableFuture<Boolean> known = new CompletableFuture<>();
+        traffic.execute(() -> {
+            peers.values().forEach(link -> link.send(new GiveUpJob(job)));
+            known.complete(dispatcher.cancel(job));
+        });
+        return known;
+    }
+
+    /**
+     * Tells whether a job is under way at this entry.
+     *
+     * @param job the job
+     * @return true if it is
+     */
+    public CompletableFuture<Boolean> isUnderWay(JobId job) {
+        CompletableFuture<Boolean> known = new CompletableFuture<>();
+        traffic.execute(() -> known.complete(dispatcher.isUnderWay(job)));
+        return known;
+    }
+
+    /**
+     * Tells whether any agent is in touch.
+     *
+     * @return true if one is
+     */
+    public boolean hasAgents() {
+        return agentsInTouch > 0;
+    }
+
+    /** Takes the closures that are now known. */
+    public void closuresChanged() {
+        traffic.execute(() -> board.close(state.known().closures().zones()));
+    }
+
+    @Override
+    public void connected(Member member, Link link) {
+        traffic.execute(() -> {
+            if (member.role() == Member.Role.AGENT) {
+                agents.put(member.node(), link);
+                agentsInTouch = agents.size();
+            } else {
+                peers.put(member.node(), link);
+            }
+        });
+        if (state.known().table().isKnown()) {
+            link.send(state.known());
+        }
+    }
+
+    @Override
+    public void lost(Member member, long heardNanos) {
+        traffic.execute(() -> {
+            if (agents.remove(member.node()) != null) {
+                dispatcher.agentLost(member.node(), heardNanos + DispatchLimits.LOST_AFTER.toNanos());
+            }
+            agentsInTouch = agents.size();
+            peers.remove(member.node());
+        });
+    }
+
+    @Override
+    public void message(NodeName from, DispatchMessage message) {
+        traffic.execute(() -> {
+            noticePause();
+            if (message instanceof AgentReport report && agents.containsKey(from)) {
+                dispatcher.report(from, report, time.nanos());
+                finishDrain();
+            } else if (message instanceof GiveUpJob giveUp) {
+                dispatcher.abandon(giveUp.job());
+            }
+        });
+    }
+
+    @Override
+    public void shared(NodeName from, ShareState shared) {
+        if (state.offer(shared, "host " + from)) {
+            closuresChanged();
+        }
+    }
+
+    private void start(NodeName agent, List<Order> orders) {
+        Link link = agents.get(agent);
+        if (link != null) {
+            link.send(new StartOrders(orders));
+        }
+    }
+
+    private void stop(NodeName agent, JobId job, List<Integer> indexes) {
+        Link link = agents.get(agent);
+        if (link != null) {
+            link.send(new StopOrders(job, indexes));
+        }
+    }
+
+    private void leaveTo(JobId job, CompletableFuture<JobAnswer> answer) {
+        if (!answer.isDone()) {
+            dispatcher.abandon(job);
+        }
+    }
+
+    private void noticePause() {
+        long now = time.millis();
+        long gap = now - tickMillis;
+        tickMillis = now;
+        if (gap > DispatchLimits.PAUSE.toMillis() && dispatcher.size() > 0) {
+            events.write(Event.PAUSED, gap);
+            dispatcher.giveUpAll("this host stood still for " + gap + " ms");
+        }
+    }
+
+    private void finishDrain() {
+        if (drained != null && dispatcher.size() == 0) {
+            drained.complete(null);
+        }
+    }
+}
--- a/src/main/java/org/gypsumflow/traffic/EntryPorts.java
+++ b/src/main/java/org/gypsumflow/traffic/EntryPorts.java
@@ -9,10 +9,10 @@
 import org.gypsumflow.command.PlacementPolicy;
 import org.gypsumflow.control.Dialer;
 import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.log.TypedLog;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.StreamName;
 import org.gypsumflow.model.Tracing;
-import org.gypsumflow.platform.TypedLog;
 
 /**
  * Everything an entry needs from outside.
--- /dev/null
+++ b/src/main/java/org/gypsumflow/traffic/WorkerDriver.java
@@ -0,0 +1,263 @@
+package org.gypsumflow.traffic;
+
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.gypsumflow.command.AgentDesk;
+import org.gypsumflow.command.AgentDesk.Actions;
+import org.gypsumflow.command.AgentDesk.OwnedEnd;
+import org.gypsumflow.command.AgentDesk.Run;
+import org.gypsumflow.command.DispatchLimits;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.WorkerCall.Account;
+import org.gypsumflow.model.WorkerCall.Finished;
+import org.gypsumflow.model.WorkerCall.Renewal;
+import org.gypsumflow.model.WorkerCall.Running;
+import org.gypsumflow.model.WorkerCall.StartAnswer;
+import org.gypsumflow.model.WorkerCall.StartReply;
+import org.gypsumflow.model.WorkerReport;
+
+/** Carries out at the worker what an agent's desk decides, and keeps the worker's lease; runs on one lane. */
+final class WorkerDriver {
+    /** Longest time that the worker may hold back its account; well below the lease, so that one call may be lost. */
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(300);
+    /** Pause between calls to a worker that does not answer. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+    /** Clocks of workers may run slow by this share. */
+    private static final double CLOCK_DRIFT = 0.02;
+    /** Added to the fencing token when the worker has seen a higher one: an hour of the clock that tokens come from. */
+    private static final long TOKEN_STEP = 3_600_000;
+
+    private final Lane lane;
+    private final TimeSource time;
+    private final AgentDesk desk;
+    private final WorkerPort port;
+    private final EventLog events;
+    private final Consumer<OwnedEnd> ends;
+
+    private long fencingToken;
+    private long workerLife;
+    private boolean clockKnown;
+    private long clockOffsetMillis;
+    private long acknowledged;
+    private boolean unacknowledged;
+    private boolean renewing;
+    private boolean silent;
+    private long answeredNanos;
+
+    WorkerDriver(
+            Lane lane, TimeSource time, AgentDesk desk, WorkerPort port, EventLog events, Consumer<OwnedEnd> ends) {
+        this.lane = lane;
+        this.time = time;
+        this.desk = desk;
+        this.port = port;
+        this.events = events;
+        this.ends = ends;
+        this.fencingToken = time.millis();
+    }
+
+    /** Takes a worker's report; a new life of the worker is asked for its account at once. */
+    void reported(WorkerReport report) {
+        boolean newLife = desk.workerReported(report, time.nanos());
+        if (newLife) {
+            workerLife = report.bornMillis();
+            clockKnown = false;
+            acknowledged = 0;
+            answeredNanos = time.nanos();
+            events.write(
+                    Event.WORKER_CHANGED,
+                    report.worker(),
+                    report.bornMillis(),
+                    report.service(),
+                    report.draining(),
+                    report.capacity());
+            unacknowledged = true;
+        }
+        act();
+    }
+
+    /** Does what the desk has decided since the last call. */
+    void act() {
+        Actions actions = desk.drainActions();
+        while (!actions.isEmpty()) {
+            actions.ended().forEach(ends);
+            actions.stop().forEach(this::stop);
+            actions.start().forEach(this::start);
+            actions = desk.drainActions();
+        }
+        renew();
+    }
+
+    private void start(Run run) {
+        if (!clockKnown) {
+            desk.refused(run.task(), run.run(), false, false, time.nanos());
+            return;
+        }
+        long life = workerLife;
+        port.start(run.task(), run.run(), run.specification(), leaseUntil(), fencingToken)
+                .whenCompleteAsync((answer, failure) -> inLife(life, () -> started(run, answer, failure)), lane);
+    }
+
+    private void started(Run run, StartAnswer answer, Throwable failure) {
+        if (failure != null) {
+            startFailed(run, failure);
+            return;
+        }
+        answered(answer.clockMillis());
+        switch (answer.reply()) {
+            case STARTED -> desk.started(run.task(), run.run(), time.nanos());
+            case OLD_RUN -> desk.refused(run.task(), run.run(), true, false, time.nanos());
+            case NO_ROOM, TOO_LATE -> desk.refused(run.task(), run.run(), false, false, time.nanos());
+            case REFUSED -> desk.refused(run.task(), run.run(), false, true, time.nanos());
+            case FENCED -> {
+                fencingToken += TOKEN_STEP;
+                desk.refused(run.task(), run.run(), false, false, time.nanos());
+            }
+        }
+        if (answer.reply() != StartReply.STARTED) {
+            events.write(Event.START_REFUSED, run.task(), run.run().value(), answer.reply());
+        }
+    }
+
+    private void startFailed(Run run, Throwable failure) {
+        if (isUnreachable(failure)) {
+            events.write(Event.WORKER_SILENT, "a start", failure);
+            desk.workerGone(time.nanos());
+            return;
+        }
+        notAnswered("a start", failure);
+        desk.startUnanswered(run.task(), run.run());
+    }
+
+    private void stop(Run run) {
+        long life = workerLife;
+        port.stop(run.task(), run.run(), fencingToken)
+                .whenCompleteAsync((nothing, failure) -> inLife(life, () -> stopped(run, failure)), lane);
+    }
+
+    private void stopped(Run run, Throwable failure) {
+        if (failure == null) {
+            desk.stopHeard(run.task(), run.run(), time.nanos());
+            return;
+        }
+        if (isUnreachable(failure)) {
+            desk.workerGone(time.nanos());
+            return;
+        }
+        notAnswered("a stop", failure);
+        lane.after(RETRY_PAUSE, () -> {
+            if (desk.isStopping(run.task(), run.run())) {
+                stop(run);
+            }
+        });
+    }
+
+    private void renew() {
+        if (renewing || workerLife == 0 || (desk.atWorker() == 0 && !unacknowledged && !silent)) {
+            return;
+        }
+        renewing = true;
+        boolean mayWait = clockKnown && !silent && desk.atWorker() > 0;
+        Renewal renewal = new Renewal(
+                fencingToken, acknowledged, clockKnown ? leaseUntil() : -1, mayWait ? LONGEST_WAIT : Duration.ZERO);
+        long life = workerLife;
+        long asked = time.nanos();
+        unacknowledged = false;
+        port.renew(renewal).whenCompleteAsync((account, failure) -> renewed(life, asked, account, failure), lane);
+    }
+
+    private void renewed(long life, long askedNanos, Account account, Throwable failure) {
+        renewing = false;
+        if (life != workerLife || (account != null && account.bornMillis() != 0 && account.bornMillis() != life)) {
+            act();
+            return;
+        }
+        if (failure == null) {
+            take(account, askedNanos);
+            act();
+            return;
+        }
+        if (isUnreachable(failure)) {
+            events.write(Event.WORKER_SILENT, "a renewal", failure);
+            desk.workerGone(time.nanos());
+            silent = false;
+            act();
+            return;
+        }
+        notAnswered("a renewal", failure);
+        unacknowledged = true;
+        Duration lapsed = DispatchLimits.LEASE.plusMillis((long) (DispatchLimits.LEASE.toMillis() * CLOCK_DRIFT));
+        if (time.nanos() - answeredNanos > lapsed.plus(DispatchLimits.STOP_TIME).toNanos()) {
+            desk.workerLapsed(time.nanos());
+        }
+        lane.after(RETRY_PAUSE, this::act);
+    }
+
+    private void take(Account account, long askedNanos) {
+        long now = time.nanos();
+        answered(account.clockMillis());
+        Set<TaskName> listed = new HashSet<>();
+        for (Finished finished : account.finished()) {
+            listed.add(finished.task());
+            if (finished.number() > acknowledged) {
+                acknowledged = finished.number();
+                unacknowledged = true;
+                desk.ended(finished.task(), finished.run(), finished.ending(), now);
+            }
+        }
+        for (Running running : account.running()) {
+            listed.add(running.task());
+            if (!desk.progressed(running.task(), running.run(), running.percent(), now)) {
+                stop(new Run(running.task(), running.run(), ""));
+            }
+        }
+        desk.reconcile(listed, askedNanos, now);
+    }
+
+    private void inLife(long life, Runnable action) {
+        if (life == workerLife) {
+            action.run();
+        }
+        act();
+    }
+
+    private void answered(long clockMillis) {
+        answeredNanos = time.nanos();
+        if (silent) {
+            silent = false;
+            desk.workerAnswers(true, time.nanos());
+        }
+        if (clockMillis >= 0) {
+            clockKnown = true;
+            clockOffsetMillis = clockMillis - localMillis();
+        }
+    }
+
+    private void notAnswered(String call, Throwable failure) {
+        if (!silent) {
+            silent = true;
+            events.write(Event.WORKER_SILENT, call, failure);
+            desk.workerAnswers(false, time.nanos());
+        }
+    }
+
+    private long leaseUntil() {
+        return localMillis() + clockOffsetMillis + DispatchLimits.LEASE.toMillis();
+    }
+
+    private long localMillis() {
+        return Duration.ofNanos(time.nanos()).toMillis();
+    }
+
+    private static boolean isUnreachable(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof ConnectException;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/wire/DispatchCodec.java
@@ -0,0 +1,274 @@
+package org.gypsumflow.wire;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.DispatchMessage;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Closures;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.GiveUpJob;
+import org.gypsumflow.model.DispatchMessage.Heartbeat;
+import org.gypsumflow.model.DispatchMessage.Introduce;
+import org.gypsumflow.model.DispatchMessage.JobGivenUp;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.ShareJobs;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.DispatchMessage.StartOrders;
+import org.gypsumflow.model.DispatchMessage.StopOrders;
+import org.gypsumflow.model.DispatchMessage.WorkerRoom;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
+import org.gypsumflow.model.RoutingTable;
+import org.gypsumflow.model.RunNumber;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.wire.generated.AmountPart;
+import org.gypsumflow.wire.generated.EndedPart;
+import org.gypsumflow.wire.generated.EndingPart;
+import org.gypsumflow.wire.generated.Envelope;
+import org.gypsumflow.wire.generated.MemberOfSystem;
+import org.gypsumflow.wire.generated.NodeHeartbeat;
+import org.gypsumflow.wire.generated.OrderPart;
+import org.gypsumflow.wire.generated.RoomPart;
+import org.gypsumflow.wire.generated.RoutePart;
+
+/** Translates messages about jobs that are not stored to and from protobuf. */
+final class DispatchCodec {
+    private static final int HEXADECIMAL = 16;
+    private static final long NANOS_PER_MICRO = 1000;
+
+    private DispatchCodec() {}
+
+    static Envelope encode(DispatchMessage message) {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        if (message instanceof Introduce introduce) {
+            envelope.setIntroduce(org.gypsumflow.wire.generated.Introduce.newBuilder()
+                    .setMember(encode(introduce.member()))
+                    .setIncarnation(introduce.incarnation().value()));
+        } else if (message instanceof Heartbeat heartbeat) {
+            envelope.setNodeHeartbeat(NodeHeartbeat.newBuilder().setSentAtNanos(heartbeat.sentAtNanos()));
+        } else if (message instanceof StartOrders start) {
+            org.gypsumflow.wire.generated.StartOrders.Builder orders =
+                    org.gypsumflow.wire.generated.StartOrders.newBuilder();
+            start.orders().forEach(order -> orders.addOrders(encode(order)));
+            envelope.setStartOrders(orders);
+        } else if (message instanceof StopOrders stop) {
+            envelope.setStopOrders(org.gypsumflow.wire.generated.StopOrders.newBuilder()
+                    .setJob(encode(stop.job()))
+                    .addAllIndexes(stop.indexes()));
+        } else if (message instanceof AgentReport report) {
+            envelope.setAgentReport(encode(report));
+        } else if (message instanceof ShareState share) {
+            envelope.setShareState(encode(share));
+        } else if (message instanceof ShareJobs share) {
+            envelope.setShareJobs(org.gypsumflow.wire.generated.ShareJobs.newBuilder()
+                    .addAllTaken(
+                            share.taken().stream().map(DispatchCodec::encode).toList()));
+        } else if (message instanceof GiveUpJob giveUp) {
+            envelope.setGiveUpJob(
+                    org.gypsumflow.wire.generated.GiveUpJob.newBuilder().setJob(encode(giveUp.job())));
+        } else if (message instanceof JobGivenUp givenUp) {
+            envelope.setJobGivenUp(
+                    org.gypsumflow.wire.generated.JobGivenUp.newBuilder().setJob(encode(givenUp.job())));
+        }
+        return envelope.build();
+    }
+
+    static DispatchMessage decode(Envelope envelope) {
+        return switch (envelope.getMessageCase()) {
+            case INTRODUCE ->
+                new Introduce(
+                        decode(envelope.getIntroduce().getMember()),
+                        Incarnation.of(envelope.getIntroduce().getIncarnation()));
+            case NODE_HEARTBEAT -> new Heartbeat(envelope.getNodeHeartbeat().getSentAtNanos());
+            case START_ORDERS ->
+                new StartOrders(envelope.getStartOrders().getOrdersList().stream()
+                        .map(DispatchCodec::decode)
+                        .toList());
+            case STOP_ORDERS ->
+                new StopOrders(
+                        job(envelope.getStopOrders().getJob()),
+                        envelope.getStopOrders().getIndexesList());
+            case AGENT_REPORT -> decode(envelope.getAgentReport());
+            case SHARE_STATE -> decode(envelope.getShareState());
+            case SHARE_JOBS ->
+                new ShareJobs(envelope.getShareJobs().getTakenList().stream()
+                        .map(DispatchCodec::job)
+                        .toList());
+            case GIVE_UP_JOB -> new GiveUpJob(job(envelope.getGiveUpJob().getJob()));
+            case JOB_GIVEN_UP -> new JobGivenUp(job(envelope.getJobGivenUp().getJob()));
+            default -> throw new IllegalArgumentException("the envelope holds no message about jobs");
+        };
+    }
+
+    static MemberOfSystem encode(Member member) {
+        return MemberOfSystem.newBuilder()
+                .setNode(member.node().value())
+                .setEntry(member.role() == Member.Role.ENTRY)
+                .setZone(member.zone().value())
+                .setHost(member.host())
+                .setPort(member.port())
+                .build();
+    }
+
+    static Member decode(MemberOfSystem part) {
+        return new Member(
+                NodeName.of(part.getNode()),
+                part.getEntry() ? Member.Role.ENTRY : Member.Role.AGENT,
+                AvailabilityZone.of(part.getZone()),
+                part.getHost(),
+                part.getPort());
+    }
+
+    private static long encode(JobId job) {
+        return Long.parseUnsignedLong(job.value(), HEXADECIMAL);
+    }
+
+    private static JobId job(long bits) {
+        return JobId.of(String.format("%016x", bits));
+    }
+
+    private static OrderPart encode(Order order) {
+        return OrderPart.newBuilder()
+                .setJob(encode(order.task().job()))
+                .setIndex(order.task().index())
+                .setRun(order.run().value())
+                .setSpecification(order.specification())
+                .setNeeds(encode(order.needs()))
+                .setEstimateMillis((int) order.estimate().toMillis())
+                .setStartWithinMillis((int) order.startWithin().toMillis())
+                .setUrgencyMillis((int) order.urgency().toMillis())
+                .build();
+    }
+
+    private static Order decode(OrderPart part) {
+        return new Order(
+                TaskName.of(job(part.getJob()), part.getIndex()),
+                RunNumber.of(part.getRun()),
+                part.getSpecification(),
+                decode(part.getNeeds()),
+                Duration.ofMillis(part.getEstimateMillis()),
+                Duration.ofMillis(part.getStartWithinMillis()),
+                Duration.ofMillis(part.getUrgencyMillis()));
+    }
+
+    private static AmountPart encode(Resources amount) {
+        return AmountPart.newBuilder()
+                .setProcessorMillis(amount.processorMillis())
+                .setMemoryMegabytes(amount.memoryMegabytes())
+                .setAccelerators(amount.accelerators())
+                .build();
+    }
+
+    private static Resources decode(AmountPart part) {
+        return Resources.of(part.getProcessorMillis(), part.getMemoryMegabytes(), part.getAccelerators());
+    }
+
+    private static org.gypsumflow.wire.generated.AgentReport encode(AgentReport report) {
+        org.gypsumflow.wire.generated.AgentReport.Builder part = org.gypsumflow.wire.generated.AgentReport.newBuilder();
+        report.ended()
+                .forEach(ended -> part.addEnded(EndedPart.newBuilder()
+                        .setJob(encode(ended.task().job()))
+                        .setIndex(ended.task().index())
+                        .setRun(ended.run().value())
+                        .setEnding(EndingPart.valueOf(ended.ending().name()))
+                        .setRanMicros(ended.ran().toNanos() / NANOS_PER_MICRO)));
+        WorkerRoom room = report.room();
+        part.setRoom(RoomPart.newBuilder()
+                .setOpen(room.open())
+                .setService(room.service())
+                .setZone(room.zone())
+                .setCapacity(encode(room.capacity()))
+                .setFree(encode(room.free()))
+                .setYours(encode(room.yours()))
+                .setMeanRunMillis((int) room.meanRun().toMillis())
+                .setSlowness((float) room.slowness())
+                .setFailing((float) room.failing())
+                .setRunning(room.running()));
+        return part.build();
+    }
+
+    private static AgentReport decode(org.gypsumflow.wire.generated.AgentReport part) {
+        RoomPart room = part.getRoom();
+        List<Ended> ended = part.getEndedList().stream()
+                .map(each -> new Ended(
+                        TaskName.of(job(each.getJob()), each.getIndex()),
+                        RunNumber.of(each.getRun()),
+                        ending(each.getEnding()),
+                        Duration.ofNanos(each.getRanMicros() * NANOS_PER_MICRO)))
+                .toList();
+        return new AgentReport(
+                ended,
+                new WorkerRoom(
+                        room.getOpen(),
+                        room.getService(),
+                        room.getZone(),
+                        decode(room.getCapacity()),
+                        decode(room.getFree()),
+                        decode(room.getYours()),
+                        Duration.ofMillis(room.getMeanRunMillis()),
+                        room.getSlowness(),
+                        room.getFailing(),
+                        room.getRunning()));
+    }
+
+    private static TaskEnding ending(EndingPart part) {
+        return part == EndingPart.UNRECOGNIZED ? TaskEnding.LOST : TaskEnding.valueOf(part.name());
+    }
+
+    private static org.gypsumflow.wire.generated.ShareState encode(ShareState share) {
+        org.gypsumflow.wire.generated.ShareState.Builder part = org.gypsumflow.wire.generated.ShareState.newBuilder()
+                .setVersion(share.table().version())
+                .setClosuresAsOf(share.closures().asOf());
+        share.table().guardedServices().forEach(service -> part.addGuardedServices(service.value()));
+        share.closures().zones().forEach(zone -> part.addClosedZones(zone.value()));
+        share.table()
+                .routes()
+                .forEach(route -> part.addRoutes(RoutePart.newBuilder()
+                        .setName(route.name().value())
+                        .setHost(route.host())
+                        .setPathPrefix(route.pathPrefix())
+                        .setService(route.service().value())
+                        .setPriority(route.priority())
+                        .setAttempts(route.attempts())
+                        .setStretch(route.stretch())
+                        .setAllowanceMillis(route.allowance().toMillis())
+                        .setTimeoutMillis(route.timeout().toMillis())));
+        return part.build();
+    }
+
+    private static ShareState decode(org.gypsumflow.wire.generated.ShareState part) {
+        List<Route> routes = part.getRoutesList().stream()
+                .map(route -> new Route(
+                        RouteName.of(route.getName()),
+                        route.getHost(),
+                        route.getPathPrefix(),
+                        ServiceName.of(route.getService()),
+                        route.getPriority(),
+                        route.getAttempts(),
+                        route.getStretch(),
+                        Duration.ofMillis(route.getAllowanceMillis()),
+                        Duration.ofMillis(route.getTimeoutMillis())))
+                .toList();
+        return new ShareState(
+                new RoutingTable(
+                        part.getVersion(),
+                        routes,
+                        part.getGuardedServicesList().stream()
+                                .map(ServiceName::of)
+                                .collect(Collectors.toSet())),
+                new Closures(
+                        part.getClosuresAsOf(),
+                        part.getClosedZonesList().stream()
+                                .map(AvailabilityZone::of)
+                                .collect(Collectors.toSet())));
+    }
+}
--- a/src/main/java/org/gypsumflow/wire/MessageCodec.java
+++ b/src/main/java/org/gypsumflow/wire/MessageCodec.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.wire;
 
 import org.gypsumflow.model.CommandMessage;
+import org.gypsumflow.model.DispatchMessage;
 import org.gypsumflow.model.Message;
 import org.gypsumflow.model.QueryMessage;
 import org.gypsumflow.model.ReportMessage;
@@ -23,6 +24,9 @@
         if (message instanceof QueryMessage query) {
             return QueryCodec.encode(query);
         }
+        if (message instanceof DispatchMessage dispatch) {
+            return DispatchCodec.encode(dispatch);
+        }
         return ReportCodec.encode((ReportMessage) message);
     }
 
@@ -38,6 +42,15 @@
         return switch (envelope.getMessageCase()) {
             case FIND_TASKS -> QueryCodec.decode(envelope);
             case HEARTBEAT_REPLY, TASK_REPORT, FOUND_TASKS, JOB_REPORT, JOB_REFUSED -> ReportCodec.decode(envelope);
+            case INTRODUCE,
+                    NODE_HEARTBEAT,
+                    START_ORDERS,
+                    STOP_ORDERS,
+                    AGENT_REPORT,
+                    SHARE_STATE,
+                    SHARE_JOBS,
+                    GIVE_UP_JOB,
+                    JOB_GIVEN_UP -> DispatchCodec.decode(envelope);
             case MESSAGE_NOT_SET -> throw new IllegalArgumentException("the envelope holds no known message");
             default -> CommandCodec.decode(envelope);
         };
--- a/src/main/java/org/gypsumflow/wire/NettyTransport.java
+++ b/src/main/java/org/gypsumflow/wire/NettyTransport.java
@@ -26,6 +26,7 @@
 import org.gypsumflow.model.EntryAddress;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Member;
 import org.gypsumflow.model.Message;
 import org.gypsumflow.wire.generated.Envelope;
 
@@ -33,7 +34,7 @@
 public final class NettyTransport implements AutoCloseable {
     private static final int MOST_FRAME_BYTES = 8 * 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
-    private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
     private final EventLoopGroup group;
     private final EventLog events;
@@ -83,6 +84,21 @@
      * @return the open connection, or a failure
      */
     public CompletableFuture<Link> dial(EntryAddress address, LinkListener listener) {
+        return dial(address.host(), address.port(), listener);
+    }
+
+    /**
+     * Opens a connection to a process.
+     *
+     * @param member the process
+     * @param listener receives what happens on the connection
+     * @return the open connection, or a failure
+     */
+    public CompletableFuture<Link> dial(Member member, LinkListener listener) {
+        return dial(member.host(), member.port(), listener);
+    }
+
+    private CompletableFuture<Link> dial(String host, int port, LinkListener listener) {
         CompletableFuture<Link> dialed = new CompletableFuture<>();
         new Bootstrap()
                 .group(group)
@@ -90,7 +106,7 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(initializer(listener))
-                .connect(address.host(), address.port())
+                .connect(host, port)
                 .addListener((ChannelFuture connected) -> {
                     if (connected.isSuccess()) {
                         dialed.complete(connected.channel().pipeline().get(MessageHandler.class).link);
--- a/src/test/java/org/gypsumflow/daemon/Site.java
+++ b/src/test/java/org/gypsumflow/daemon/Site.java
@@ -15,10 +15,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.gypsumflow.http.HttpCaller;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.WorkerName;
-import org.gypsumflow.platform.HttpCaller;
 import org.gypsumflow.standin.LogStandIn;
 import org.gypsumflow.standin.TargetStandIn;
 
--- a/src/test/java/org/gypsumflow/world/FakeLog.java
+++ b/src/test/java/org/gypsumflow/world/FakeLog.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import org.gypsumflow.platform.PlatformLog.Appended;
-import org.gypsumflow.platform.PlatformLog.Entry;
-import org.gypsumflow.platform.PlatformLog.Page;
-import org.gypsumflow.platform.TypedLog;
+import org.gypsumflow.log.PlatformLog.Appended;
+import org.gypsumflow.log.PlatformLog.Entry;
+import org.gypsumflow.log.PlatformLog.Page;
+import org.gypsumflow.log.TypedLog;
 
 /** The platform's log with its faults: outages, slow writes, lost answers, late writes, limited retention. */
 final class FakeLog {
--- a/src/test/java/org/gypsumflow/world/Promises.java
+++ b/src/test/java/org/gypsumflow/world/Promises.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 import org.gypsumflow.command.OperationRecord;
 import org.gypsumflow.command.OperationsState;
+import org.gypsumflow.log.PlatformLog.Entry;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.TaskId;
 import org.gypsumflow.model.Verdict;
-import org.gypsumflow.platform.PlatformLog.Entry;
 
 /** Checks a finished history against the promises of the brief and lists what broke. */
 final class Promises {
