--- a/src/main/java/org/gypsumflow/control/KeyedFollower.java
+++ b/src/main/java/org/gypsumflow/control/KeyedFollower.java
@@ -66,27 +66,24 @@
         if (stopped) {
             return;
         }
-        log.newest(topic)
-                .whenCompleteAsync(
-                        (page, failure) -> {
-                            if (failure != null) {
-                                failed(failure);
-                                control.after(PAUSE, this::readWhole);
-                                return;
-                            }
-                            regained();
-                            next = page.end();
-                            whole.accept(page);
-                            readOn();
-                        },
-                        control);
+        control.whenDone(log.newest(topic), (page, failure) -> {
+            if (failure != null) {
+                failed(failure);
+                control.after(PAUSE, this::readWhole);
+                return;
+            }
+            regained();
+            next = page.end();
+            whole.accept(page);
+            readOn();
+        });
     }
 
     private void readOn() {
         if (stopped) {
             return;
         }
-        log.read(topic, next, LONG_READ).whenCompleteAsync(this::took, control);
+        control.whenDone(log.read(topic, next, LONG_READ), this::took);
     }
 
     private void took(Page page, Throwable failure) {
--- a/src/main/java/org/gypsumflow/control/Lane.java
+++ b/src/main/java/org/gypsumflow/control/Lane.java
@@ -1,7 +1,9 @@
 package org.gypsumflow.control;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 
 /** Runs actions one after the other, so that the state they share needs no lock. */
@@ -14,6 +16,17 @@
      */
     void after(Duration delay, Runnable action);
 
+    /**
+     * Runs an action on this lane once a future has completed; a failure of the action is reported like any other.
+     *
+     * @param future the future
+     * @param action takes the value or the failure
+     * @param <T> type of the value
+     */
+    default <T> void whenDone(CompletableFuture<T> future, BiConsumer<T, Throwable> action) {
+        future.whenComplete((value, failure) -> execute(() -> action.accept(value, failure)));
+    }
+
     /**
      * Runs an action on this lane again and again, until it returns false.
      *
--- a/src/main/java/org/gypsumflow/control/MemberDirectory.java
+++ b/src/main/java/org/gypsumflow/control/MemberDirectory.java
@@ -69,19 +69,16 @@
 
     /** Writes the own address until the store has taken it. */
     public void publish() {
-        store.put(TOPIC, self.node().value(), encoder.apply(self))
-                .whenCompleteAsync(
-                        (nothing, failure) -> {
-                            if (failure == null) {
-                                return;
-                            }
-                            if (!lost) {
-                                lost = true;
-                                events.write(Event.STORE_LOST, "the own address", failure);
-                            }
-                            control.after(PAUSE, this::publish);
-                        },
-                        control);
+        control.whenDone(store.put(TOPIC, self.node().value(), encoder.apply(self)), (nothing, failure) -> {
+            if (failure == null) {
+                return;
+            }
+            if (!lost) {
+                lost = true;
+                events.write(Event.STORE_LOST, "the own address", failure);
+            }
+            control.after(PAUSE, this::publish);
+        });
     }
 
     /** Reads the addresses of the others from now on. */
--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -236,20 +236,17 @@
         if (stopped || member == null || current.containsKey(node) || !dialing.add(node)) {
             return;
         }
-        dialer.dial(member, this)
-                .whenCompleteAsync(
-                        (link, failure) -> {
-                            dialing.remove(node);
-                            if (failure != null) {
-                                control.after(REDIAL, () -> dial(node));
-                                return;
-                            }
-                            dialed.add(link);
-                            states.computeIfAbsent(link, created -> new State(time.nanos()));
-                            link.send(new Introduce(self, incarnation));
-                            control.after(DispatchLimits.SILENCE, () -> dial(node));
-                        },
-                        control);
+        control.whenDone(dialer.dial(member, this), (link, failure) -> {
+            dialing.remove(node);
+            if (failure != null) {
+                control.after(REDIAL, () -> dial(node));
+                return;
+            }
+            dialed.add(link);
+            states.computeIfAbsent(link, created -> new State(time.nanos()));
+            link.send(new Introduce(self, incarnation));
+            control.after(DispatchLimits.SILENCE, () -> dial(node));
+        });
     }
 
     private void watch() {
--- a/src/main/java/org/gypsumflow/platform/OperatorRecords.java
+++ b/src/main/java/org/gypsumflow/platform/OperatorRecords.java
@@ -25,8 +25,8 @@
     /** Topic of the operator's records. */
     public static final String TOPIC = "keyed.op";
 
-    private static final String ROUTES_KEY = "op/config";
-    private static final String EVACUATION_PREFIX = "op/evacuate/";
+    private static final String ROUTES_KEY = "config";
+    private static final String EVACUATION_PREFIX = "evacuate/";
 
     private final Consumer<ShareState> known;
     private final EventLog events;
--- a/src/main/java/org/gypsumflow/traffic/WorkerDriver.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerDriver.java
@@ -101,8 +101,9 @@
             return;
         }
         long life = workerLife;
-        port.start(run.task(), run.run(), run.specification(), leaseUntil(), fencingToken)
-                .whenCompleteAsync((answer, failure) -> inLife(life, () -> started(run, answer, failure)), lane);
+        lane.whenDone(
+                port.start(run.task(), run.run(), run.specification(), leaseUntil(), fencingToken),
+                (answer, failure) -> inLife(life, () -> started(run, answer, failure)));
     }
 
     private void started(Run run, StartAnswer answer, Throwable failure) {
@@ -138,8 +139,9 @@
 
     private void stop(Run run) {
         long life = workerLife;
-        port.stop(run.task(), run.run(), fencingToken)
-                .whenCompleteAsync((nothing, failure) -> inLife(life, () -> stopped(run, failure)), lane);
+        lane.whenDone(
+                port.stop(run.task(), run.run(), fencingToken),
+                (nothing, failure) -> inLife(life, () -> stopped(run, failure)));
     }
 
     private void stopped(Run run, Throwable failure) {
@@ -170,7 +172,7 @@
         long life = workerLife;
         long asked = time.nanos();
         unacknowledged = false;
-        port.renew(renewal).whenCompleteAsync((account, failure) -> renewed(life, asked, account, failure), lane);
+        lane.whenDone(port.renew(renewal), (account, failure) -> renewed(life, asked, account, failure));
     }
 
     private void renewed(long life, long askedNanos, Account account, Throwable failure) {
