Test the decisions on jobs that are not stored and each message of the platform

Placement, dispatch, the agent's desk, job bodies, worker reports, accounts, the store's pages and refusals.

--- a/src/main/java/org/gypsumflow/http/HttpFront.java
+++ b/src/main/java/org/gypsumflow/http/HttpFront.java
@@ -96,6 +96,16 @@
             return new Reply(status, "text/plain; charset=utf-8", content.getBytes(StandardCharsets.UTF_8), Map.of());
         }
 
+        /**
+         * Replaces the content.
+         *
+         * @param content other content
+         * @return an answer with that content
+         */
+        public Reply withBody(byte[] content) {
+            return new Reply(status, contentType, content, headers);
+        }
+
         /**
          * Adds a header.
          *
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -53,35 +53,40 @@
     /** The holder of a claim is gone. */
     HOLDER_LOST(501, Level.WARN, "holder of submission {} is gone, {} of {} outcomes found at the agents"),
     /** A job that is not stored was given up. */
-    JOB_GIVEN_UP(500, Level.WARN, "job {} of route {} given up, may have run: {}, agents known: {}: {}"),
+    JOB_GIVEN_UP(600, Level.WARN, "job {} of route {} given up, may have run: {}, agents known: {}: {}"),
     /** A job that is not stored ended before its tasks did. */
-    JOB_ENDED_EARLY(501, Level.INFO, "job {} of route {} ended early: {}"),
+    JOB_ENDED_EARLY(601, Level.INFO, "job {} of route {} ended early: {}"),
     /** An agent could not start a task. */
-    START_REFUSED(502, Level.WARN, "worker refused task {} run {}: {}"),
+    START_REFUSED(602, Level.WARN, "worker refused task {} run {}: {}"),
     /** A worker does not answer. */
-    WORKER_SILENT(503, Level.WARN, "worker does not answer {}: {}"),
+    WORKER_SILENT(603, Level.WARN, "worker does not answer {}: {}"),
     /** A worker reported itself or changed. */
-    WORKER_CHANGED(504, Level.INFO, "worker {} born {} of service {}, draining: {}, capacity {}"),
+    WORKER_CHANGED(604, Level.INFO, "worker {} born {} of service {}, draining: {}, capacity {}"),
     /** A task was stopped because it stood still. */
-    TASK_STUCK(505, Level.WARN, "stopped task {} run {}: {} ms of about {} ms, {} percent done"),
+    TASK_STUCK(605, Level.WARN, "stopped task {} run {}: {} ms of about {} ms, {} percent done"),
     /** An entry's orders were dropped because the entry is out of touch. */
-    ENTRY_ORDERS_DROPPED(506, Level.WARN, "dropped {} orders of entry {}: {}"),
+    ENTRY_ORDERS_DROPPED(606, Level.WARN, "dropped {} orders of entry {}: {}"),
     /** A connection between processes of the system opened. */
-    NODE_CONNECTED(507, Level.INFO, "connected to {} {} in zone {}, incarnation {}"),
+    NODE_CONNECTED(607, Level.INFO, "connected to {} {} in zone {}, incarnation {}"),
     /** A connection between processes of the system ended. */
-    NODE_LOST(508, Level.WARN, "connection to {} {} ended: {}"),
+    NODE_LOST(608, Level.WARN, "connection to {} {} ended: {}"),
     /** The platform's store does not answer. */
-    STORE_LOST(509, Level.WARN, "the platform's store does not answer {}: {}"),
+    STORE_LOST(609, Level.WARN, "the platform's store does not answer {}: {}"),
     /** The platform's store answers again. */
-    STORE_REGAINED(510, Level.INFO, "the platform's store answers again"),
+    STORE_REGAINED(610, Level.INFO, "the platform's store answers again"),
     /** Routes came into force. */
-    ROUTES_IN_FORCE(511, Level.INFO, "routes of version {} are in force, {} routes, learnt from {}"),
+    ROUTES_IN_FORCE(611, Level.INFO, "routes of version {} are in force, {} routes, learnt from {}"),
     /** The set of zones that are being emptied changed. */
-    CLOSURES_IN_FORCE(512, Level.INFO, "zones that get no tasks: {}, as of record {}, learnt from {}"),
+    CLOSURES_IN_FORCE(612, Level.INFO, "zones that get no tasks: {}, as of record {}, learnt from {}"),
     /** A message of an outside party could not be read. */
-    UNREADABLE(513, Level.WARN, "ignored {}: {}"),
+    UNREADABLE(613, Level.WARN, "ignored {}: {}"),
+    /** What an agent believes of its worker. */
+    WORKER_STANDING(
+            615, Level.INFO, "worker open: {}, at work: {}, orders: {}, slowness {}, failing {}, mean run {} ms"),
+    /** Log lines were left out to bound the volume. */
+    LINES_DROPPED(616, Level.WARN, "left out {} lines of GF{} in the last second"),
     /** The settings were read again. */
-    SETTINGS_RELOADED(514, Level.INFO, "settings read again: {}"),
+    SETTINGS_RELOADED(614, Level.INFO, "settings read again: {}"),
     /** A request failed inside the system. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -33,6 +33,11 @@
     /** Reports are repeated after this time even if nothing changed, in case one was lost with a connection. */
     private static final Duration REPEAT = Duration.ofSeconds(1);
 
+    /** Time between two log lines on what the agent believes of its worker. */
+    private static final Duration STANDING_EVERY = Duration.ofSeconds(5);
+
+    private static final NodeName NOBODY = NodeName.of("nobody");
+
     private static final class Owner {
         private final Link link;
         private WorkerRoom told;
@@ -53,6 +58,7 @@
     private final Map<NodeName, List<Ended>> ended = new HashMap<>();
     private CompletableFuture<Void> drained;
     private long tickMillis;
+    private long standingNanos;
     private boolean stopped;
 
     private DispatchAgent(Lane traffic, TimeSource time, WorkerPort worker, SharedState state, EventLog events) {
@@ -185,11 +191,28 @@
                 .forEach(run ->
                         events.write(Event.TASK_STUCK, run.task(), run.run().value(), "", "", ""));
         act();
+        logStanding();
         for (Map.Entry<NodeName, Owner> each : owners.entrySet()) {
             tellIfChanged(each.getKey(), each.getValue());
         }
     }
 
+    private void logStanding() {
+        if (time.nanos() - standingNanos < STANDING_EVERY.toNanos()) {
+            return;
+        }
+        standingNanos = time.nanos();
+        WorkerRoom room = desk.roomFor(NOBODY, standingNanos);
+        events.write(
+                Event.WORKER_STANDING,
+                room.open(),
+                room.running(),
+                desk.size(),
+                String.format("%.2f", room.slowness()),
+                String.format("%.2f", room.failing()),
+                room.meanRun().toMillis());
+    }
+
     private void noticePause() {
         long now = time.millis();
         long gap = now - tickMillis;
--- /dev/null
+++ b/src/test/java/org/gypsumflow/command/AgentDeskTest.java
@@ -0,0 +1,210 @@
+package org.gypsumflow.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.gypsumflow.command.AgentDesk.Actions;
+import org.gypsumflow.command.AgentDesk.Run;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RunNumber;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.WorkerReport;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class AgentDeskTest {
+    private static final NodeName ENTRY = NodeName.of("entry");
+    private static final JobId JOB = JobId.of("00000000000000aa");
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("sofia");
+
+    private AgentDesk desk;
+
+    @BeforeMethod
+    public void startWithAWorkerOfEightCores() {
+        desk = AgentDesk.create();
+        desk.workerReported(report(1, 1, false), 0);
+    }
+
+    private static WorkerReport report(long born, long sequence, boolean draining) {
+        return new WorkerReport(
+                "worker",
+                born,
+                ServiceName.of("service"),
+                ZONE,
+                Resources.of(8000, 1000, 0),
+                "rack",
+                draining,
+                sequence);
+    }
+
+    private static long millis(long value) {
+        return Duration.ofMillis(value).toNanos();
+    }
+
+    private static TaskName task(int index) {
+        return TaskName.of(JOB, index);
+    }
+
+    private void order(int index, int urgencyMillis) {
+        Order order = new Order(
+                task(index),
+                RunNumber.FIRST,
+                "text",
+                Resources.of(3000, 10, 0),
+                Duration.ofMillis(100),
+                Duration.ofMillis(500),
+                Duration.ofMillis(urgencyMillis));
+        desk.order(ENTRY, order, 0);
+    }
+
+    private List<TaskName> started() {
+        return desk.drainActions().start().stream().map(Run::task).toList();
+    }
+
+    private List<TaskEnding> ends() {
+        return desk.drainActions().ended().stream()
+                .map(end -> end.ended().ending())
+                .toList();
+    }
+
+    @Test
+    public void noMoreStartsThanTheWorkerHasRoomFor() {
+        order(0, 100);
+        order(1, 100);
+        order(2, 100);
+        assertEquals(started().size(), 2);
+    }
+
+    @Test
+    public void theMostUrgentOrderGetsTheRoomThatAnEndLeaves() {
+        order(0, 100);
+        order(1, 100);
+        order(2, 300);
+        order(3, 50);
+        desk.drainActions();
+        desk.started(task(0), RunNumber.FIRST, 0);
+        desk.ended(task(0), RunNumber.FIRST, TaskEnding.DONE, millis(100));
+        assertEquals(started(), List.of(task(3)));
+    }
+
+    @Test
+    public void roomOfAStoppedRunIsFreeOnlyWhenItsEndIsListed() {
+        order(0, 100);
+        order(1, 100);
+        order(2, 100);
+        desk.drainActions();
+        desk.stop(ENTRY, JOB, List.of(0), millis(10));
+        assertTrue(started().isEmpty());
+        desk.ended(task(0), RunNumber.FIRST, TaskEnding.LOST, millis(40));
+        assertEquals(started(), List.of(task(2)));
+    }
+
+    @Test
+    public void anOrderThatWaitsTooLongIsGivenBackUnstarted() {
+        order(0, 100);
+        order(1, 100);
+        order(2, 100);
+        desk.drainActions();
+        desk.tick(millis(501));
+        assertEquals(ends(), List.of(TaskEnding.NOT_STARTED));
+    }
+
+    @Test
+    public void aDrainingWorkerGetsNothingNewAndKeepsWhatRuns() {
+        order(0, 100);
+        desk.drainActions();
+        desk.workerReported(report(1, 2, true), millis(10));
+        order(1, 100);
+        Actions actions = desk.drainActions();
+        assertTrue(actions.start().isEmpty() && actions.stop().isEmpty());
+        assertEquals(actions.ended().size(), 1);
+    }
+
+    @Test
+    public void aWorkerInAZoneThatIsEmptiedGetsNothing() {
+        desk.close(Set.of(ZONE), 0);
+        order(0, 100);
+        assertEquals(ends(), List.of(TaskEnding.NOT_STARTED));
+        assertFalse(desk.isOpen());
+    }
+
+    @Test
+    public void aWorkerBornAgainHasLostAllRuns() {
+        order(0, 100);
+        desk.drainActions();
+        desk.workerReported(report(2, 1, false), millis(10));
+        assertEquals(ends(), List.of(TaskEnding.LOST));
+    }
+
+    @Test
+    public void aReportOfAnEarlierLifeChangesNothing() {
+        desk.workerReported(report(5, 1, false), 0);
+        assertFalse(desk.workerReported(report(4, 9, true), 0));
+        assertTrue(desk.isOpen());
+    }
+
+    @Test
+    public void ordersOfALostEntryStop() {
+        order(0, 100);
+        order(1, 100);
+        order(2, 100);
+        desk.drainActions();
+        assertEquals(desk.entryLost(ENTRY, millis(10)), 3);
+        assertEquals(desk.drainActions().stop().size(), 2);
+        assertEquals(desk.atWorker(), 2);
+    }
+
+    @Test
+    public void aRefusedRunNumberIsTriedAgainHigher() {
+        order(0, 100);
+        desk.drainActions();
+        desk.refused(task(0), RunNumber.FIRST, true, false, 0);
+        assertEquals(desk.drainActions().start().get(0).run(), RunNumber.of(2));
+        desk.started(task(0), RunNumber.of(2), 0);
+        desk.ended(task(0), RunNumber.of(2), TaskEnding.DONE, millis(90));
+        assertEquals(desk.drainActions().ended().get(0).ended().run(), RunNumber.FIRST);
+    }
+
+    @Test
+    public void aRunThatStandsStillIsStopped() {
+        order(0, 100);
+        desk.drainActions();
+        desk.started(task(0), RunNumber.FIRST, 0);
+        desk.progressed(task(0), RunNumber.FIRST, 10, millis(50));
+        assertTrue(desk.tick(millis(200)).isEmpty());
+        assertEquals(desk.tick(millis(700)).size(), 1);
+    }
+
+    @Test
+    public void aConfirmedRunThatTheAccountLacksIsLost() {
+        order(0, 100);
+        desk.drainActions();
+        desk.started(task(0), RunNumber.FIRST, millis(5));
+        desk.reconcile(Set.of(), millis(4), millis(20));
+        assertTrue(ends().isEmpty());
+        desk.reconcile(Set.of(), millis(6), millis(20));
+        assertEquals(ends(), List.of(TaskEnding.LOST));
+    }
+
+    @Test
+    public void aWorkerThatFailsEverythingIsReportedAsFailing() {
+        for (int index = 0; index < 6; index++) {
+            order(index, 100);
+            desk.drainActions();
+            desk.started(task(index), RunNumber.FIRST, 0);
+            desk.ended(task(index), RunNumber.FIRST, TaskEnding.FAILED, millis(1));
+        }
+        assertTrue(desk.roomFor(ENTRY, millis(1)).failing() > 0.3);
+        assertTrue(desk.roomFor(ENTRY, millis(10_000)).failing() < 0.1);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -0,0 +1,180 @@
+package org.gypsumflow.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.WorkerRoom;
+import org.gypsumflow.model.JobAnswer;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.Verdict;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class JobDispatcherTest {
+    private static final NodeName FIRST = NodeName.of("first");
+    private static final NodeName SECOND = NodeName.of("second");
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final Route ROUTE = new Route(
+            RouteName.of("route"),
+            "",
+            "/",
+            ServiceName.of("service"),
+            0,
+            2,
+            1.6,
+            Duration.ofMillis(60),
+            Duration.ofSeconds(2));
+
+    private record Sent(NodeName agent, Order order) {}
+
+    private final List<Sent> sent = new ArrayList<>();
+    private final List<NodeName> stopped = new ArrayList<>();
+    private final List<JobAnswer> answers = new ArrayList<>();
+    private JobDispatcher dispatcher;
+
+    @BeforeMethod
+    public void startWithTwoIdleWorkers() {
+        sent.clear();
+        stopped.clear();
+        answers.clear();
+        JobPorts ports = new JobPorts(
+                (agent, orders) -> orders.forEach(order -> sent.add(new Sent(agent, order))),
+                (agent, job, indexes) -> stopped.add(agent));
+        dispatcher = JobDispatcher.create(WorkerBoard.create(), SlowestFit.rule(), ports, (event, details) -> {});
+        dispatcher.report(FIRST, new AgentReport(List.of(), room(32)), 0);
+        dispatcher.report(SECOND, new AgentReport(List.of(), room(32)), 0);
+    }
+
+    private static WorkerRoom room(int freeCores) {
+        return new WorkerRoom(
+                true,
+                "service",
+                "zone",
+                Resources.of(32_000, 100_000, 0),
+                Resources.of(freeCores * 1000, 100_000, 0),
+                Resources.NONE,
+                Duration.ofMillis(200),
+                0.8,
+                0,
+                0);
+    }
+
+    private static long millis(long value) {
+        return Duration.ofMillis(value).toNanos();
+    }
+
+    private void submit(int count) {
+        BestEffortJob job = new BestEffortJob(
+                JobId.of("00000000000000aa"), ROUTE, "text", count, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+        dispatcher.submit(job, 0, PATIENCE, answers::add);
+    }
+
+    private void end(Sent order, TaskEnding ending, long atMillis) {
+        Ended ended = new Ended(order.order().task(), order.order().run(), ending, Duration.ofMillis(200));
+        dispatcher.report(order.agent(), new AgentReport(List.of(ended), room(32)), millis(atMillis));
+    }
+
+    @Test
+    public void aJobIsAnsweredOnceAllItsTasksAreDone() {
+        submit(3);
+        end(sent.get(0), TaskEnding.DONE, 200);
+        end(sent.get(1), TaskEnding.DONE, 210);
+        assertTrue(answers.isEmpty());
+        end(sent.get(2), TaskEnding.DONE, 220);
+        assertEquals(answers, List.of(JobAnswer.completed()));
+    }
+
+    @Test
+    public void anEndReportedTwiceCountsOnce() {
+        submit(2);
+        end(sent.get(0), TaskEnding.DONE, 200);
+        end(sent.get(0), TaskEnding.DONE, 201);
+        assertTrue(answers.isEmpty());
+    }
+
+    @Test
+    public void aJobThatFindsNoWorkerIsRefusedAtOnceAndHasNotRun() {
+        dispatcher.agentLost(FIRST, 0);
+        dispatcher.agentLost(SECOND, 0);
+        submit(1);
+        assertEquals(answers.get(0).verdict(), Verdict.NOT_RUN);
+        assertTrue(sent.isEmpty());
+    }
+
+    @Test
+    public void aFailedTaskRunsAgainUntilItsRouteAllowsNoMore() {
+        submit(1);
+        end(sent.get(0), TaskEnding.FAILED, 100);
+        assertEquals(sent.get(1).order().run().value(), 2);
+        end(sent.get(1), TaskEnding.FAILED, 200);
+        assertEquals(answers.get(0).verdict(), Verdict.FAILED);
+    }
+
+    @Test
+    public void aTaskOfALostAgentStartsElsewhereOnlyWhenItsRunHasSurelyEnded() {
+        submit(1);
+        NodeName lost = sent.get(0).agent();
+        dispatcher.agentLost(lost, millis(700));
+        dispatcher.tick(millis(600));
+        assertEquals(sent.size(), 1);
+        dispatcher.tick(millis(700));
+        assertEquals(sent.size(), 2);
+        assertFalse(sent.get(1).agent().equals(lost));
+    }
+
+    @Test
+    public void anEndFromBeforeTheAgentWasLostChangesNothingAfterwards() {
+        submit(1);
+        Sent first = sent.get(0);
+        dispatcher.agentLost(first.agent(), millis(700));
+        end(first, TaskEnding.DONE, 650);
+        assertTrue(answers.isEmpty());
+    }
+
+    @Test
+    public void aJobWhoseDeadlinePassesIsStoppedAndMayHaveRun() {
+        submit(2);
+        dispatcher.tick(PATIENCE.toNanos());
+        assertEquals(answers.get(0).verdict(), Verdict.MAY_HAVE_RUN);
+        assertFalse(stopped.isEmpty());
+    }
+
+    @Test
+    public void aSecondAskerOfAJobUnderWayGetsTheSameAnswerAndStartsNothing() {
+        submit(1);
+        submit(1);
+        assertEquals(sent.size(), 1);
+        end(sent.get(0), TaskEnding.DONE, 200);
+        assertEquals(answers, List.of(JobAnswer.completed(), JobAnswer.completed()));
+    }
+
+    @Test
+    public void aCancelledJobIsStoppedWhereItRuns() {
+        submit(2);
+        assertTrue(dispatcher.cancel(JobId.of("00000000000000aa")));
+        assertTrue(answers.get(0).cancelled());
+        assertEquals(stopped.size(), sent.stream().map(Sent::agent).distinct().count());
+    }
+
+    @Test
+    public void aProcessThatStoodStillGivesUpWhatOthersMayHaveTakenOver() {
+        submit(1);
+        dispatcher.giveUpAll("paused");
+        assertEquals(answers.get(0).verdict(), Verdict.MAY_HAVE_RUN);
+        assertEquals(dispatcher.size(), 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/platform/HttpKeyedLogTest.java
@@ -0,0 +1,127 @@
+package org.gypsumflow.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.gypsumflow.http.HttpCaller;
+import org.gypsumflow.http.HttpFront;
+import org.gypsumflow.http.HttpFront.Reply;
+import org.gypsumflow.log.KeyedLog;
+import org.gypsumflow.log.KeyedLog.Page;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class HttpKeyedLogTest {
+    private final List<byte[]> appended = new ArrayList<>();
+    private volatile CompletableFuture<Reply> reply;
+    private HttpFront store;
+    private HttpCaller caller;
+    private KeyedLog log;
+
+    @BeforeMethod
+    public void startAStore() {
+        appended.clear();
+        store = HttpFront.create("127.0.0.1", 0, 1, (event, details) -> {});
+        store.otherwise(call -> {
+            appended.add(call.body());
+            return reply;
+        });
+        caller = HttpCaller.create();
+        log = HttpKeyedLog.create(caller, "127.0.0.1:" + store.start());
+    }
+
+    @AfterMethod
+    public void stopTheStore() {
+        caller.close();
+        store.close();
+    }
+
+    private static Reply raw(int status, byte[] body) {
+        return Reply.text(status, "").withBody(body);
+    }
+
+    private static byte[] page(String... records) {
+        ByteBuffer body = ByteBuffer.allocate(1000);
+        body.putLong(9).putLong(3);
+        for (String record : records) {
+            byte[] bytes = record.getBytes(StandardCharsets.UTF_8);
+            body.putInt(bytes.length + 1).put((byte) record.indexOf('=')).put(bytes);
+        }
+        byte[] used = new byte[body.position()];
+        body.flip().get(used);
+        return used;
+    }
+
+    @Test
+    public void recordsAreReadWithTheirKeysAndOffsets() {
+        reply = CompletableFuture.completedFuture(raw(200, page("a=1", "bb=")));
+        Page page = log.read("keyed.x", 5, Duration.ZERO).join();
+        assertEquals(page.end(), 7);
+        assertEquals(page.records().get(0).key(), "a");
+        assertEquals(new String(page.records().get(0).value(), StandardCharsets.UTF_8), "=1");
+        assertEquals(page.records().get(1).offset(), 6);
+    }
+
+    @Test
+    public void aReadOfDeletedRecordsIsToldApart() {
+        reply = CompletableFuture.completedFuture(raw(410, "{\"first\":8}".getBytes(StandardCharsets.UTF_8)));
+        CompletionException failure =
+                expectThrows(CompletionException.class, () -> log.read("keyed.x", 0, Duration.ZERO)
+                        .join());
+        assertTrue(failure.getCause() instanceof KeyedLog.ExpiredException);
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {{403}, {409}, {412}, {429}, {503}, {507}};
+    }
+
+    @Test(dataProvider = "refusals")
+    public void aRefusedWriteFails(int status) {
+        reply = CompletableFuture.completedFuture(raw(status, new byte[0]));
+        assertThrows(CompletionException.class, () -> log.put("keyed.x", "k", new byte[] {1})
+                .join());
+    }
+
+    @Test
+    public void aWriteCarriesLengthKeyAndValue() {
+        reply = CompletableFuture.completedFuture(raw(200, new byte[0]));
+        log.put("keyed.x", "k", new byte[] {7}).join();
+        assertEquals(appended.get(0), new byte[] {0, 0, 0, 3, 1, 'k', 7});
+    }
+
+    @Test
+    public void theNewestRecordsOfAllPagesAreRead() {
+        reply = CompletableFuture.completedFuture(Reply.json(
+                200,
+                java.util.Map.of(
+                        "items",
+                        List.of(java.util.Map.of("key", "a", "value", "AQ==", "offset", 3)),
+                        "more",
+                        false,
+                        "end",
+                        12)));
+        Page page = log.newest("keyed.x").join();
+        assertEquals(page.end(), 12);
+        assertEquals(page.records().get(0).value(), new byte[] {1});
+    }
+
+    @Test
+    public void anUnreadablePageFails() {
+        reply = CompletableFuture.completedFuture(raw(200, new byte[] {1, 2, 3}));
+        assertThrows(CompletionException.class, () -> log.read("keyed.x", 0, Duration.ZERO)
+                .join());
+        assertThrows(CompletionException.class, () -> log.newest("keyed.x").join());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/platform/JobBodyTest.java
@@ -0,0 +1,72 @@
+package org.gypsumflow.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.ValidationException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class JobBodyTest {
+    private static final Route ROUTE = new Route(
+            RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 1, 1.6, Duration.ofMillis(60), Duration.ofSeconds(1));
+
+    private static Optional<BestEffortJob> read(String body) {
+        return JobBody.read(JobId.of("5c0e7a21d94b36f8"), ROUTE, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void aJobOfOneStepIsReadWhole() {
+        BestEffortJob job = read("{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":4,\"cpu\":3100,"
+                        + "\"memMb\":64,\"estimateMs\":90}]}")
+                .orElseThrow();
+        assertEquals(job.count(), 4);
+        assertEquals(job.task(), Resources.of(3100, 64, 0));
+        assertEquals(job.estimate(), Duration.ofMillis(90));
+    }
+
+    @DataProvider
+    public Object[][] unsupported() {
+        return new Object[][] {
+            {"{\"spec\":\"x\",\"steps\":[{\"count\":1}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":1},{\"count\":1,\"dependsOn\":[0]}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":2,\"gang\":true}]}"},
+            {"{\"bestEffort\":true,\"times\":3,\"steps\":[{\"count\":1}]}"},
+        };
+    }
+
+    @Test(dataProvider = "unsupported")
+    public void whatCannotBeDoneIsToldApartFromWhatIsWrong(String body) {
+        assertTrue(read(body).isEmpty());
+    }
+
+    @DataProvider
+    public Object[][] wrong() {
+        return new Object[][] {
+            {"not json"},
+            {"[]"},
+            {"{\"bestEffort\":true}"},
+            {"{\"bestEffort\":true,\"steps\":[]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"cpu\":1}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":0}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":\"four\"}]}"},
+            {"{\"bestEffort\":\"yes\",\"steps\":[{\"count\":1}]}"},
+            {"{\"spec\":7,\"bestEffort\":true,\"steps\":[{\"count\":1}]}"},
+        };
+    }
+
+    @Test(dataProvider = "wrong")
+    public void aWrongBodyIsRefused(String body) {
+        assertThrows(ValidationException.class, () -> read(body));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/platform/WorkerReportsTest.java
@@ -0,0 +1,49 @@
+package org.gypsumflow.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.ValidationException;
+import org.gypsumflow.model.WorkerReport;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class WorkerReportsTest {
+    private static final String WHOLE = "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"rvk-a\","
+            + "\"slots\":8,\"state\":\"draining\",\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"
+            + "\"labels\":[\"a\",\"r1-3\"],\"sequence\":4,\"born\":1772086629250}";
+
+    private static WorkerReport read(String body) {
+        return WorkerReports.read("i-7f3a91c2", Json.object(body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    public void aReportIsReadWhole() {
+        WorkerReport report = read(WHOLE);
+        assertEquals(report.capacity(), Resources.of(16_000, 32_768, 0));
+        assertEquals(report.rack(), "r1-3");
+        assertEquals(report.bornMillis(), 1_772_086_629_250L);
+        assertTrue(report.draining());
+    }
+
+    @DataProvider
+    public Object[][] odd() {
+        return new Object[][] {
+            {"nothing at all"},
+            {"{}"},
+            {WHOLE.replace("\"draining\"", "\"resting\"")},
+            {WHOLE.replace("\"zone\":\"rvk-a\",", "")},
+            {WHOLE.replace("\"sequence\":4", "\"sequence\":\"four\"")},
+            {WHOLE.replace("{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "7")},
+            {WHOLE.replace("16000", "\"many\"")},
+        };
+    }
+
+    @Test(dataProvider = "odd")
+    public void aReportOfAnotherWriterNamesNoWorker(String body) {
+        assertThrows(ValidationException.class, () -> read(body));
+    }
+}
