Hand a job over when it comes to another entry while the first still works on it

Entries tell each other which jobs they took. A job that comes again elsewhere is given up by its holder first, so that no task of it runs twice at the same time; a job with two askers ends only when both are gone.

--- a/src/main/java/org/gypsumflow/command/AgentDesk.java
+++ b/src/main/java/org/gypsumflow/command/AgentDesk.java
@@ -253,20 +253,6 @@
         startWhatFits(nowNanos);
     }
 
-    /**
-     * Stops all orders of a job, whichever entry gave them.
-     *
-     * @param job the job
-     * @param nowNanos monotonic clock
-     */
-    public void stopJob(JobId job, long nowNanos) {
-        entries.values().stream()
-                .filter(entry -> entry.order.task().job().equals(job))
-                .toList()
-                .forEach(this::stop);
-        startWhatFits(nowNanos);
-    }
-
     /**
      * Takes note that a worker has left; whatever ran there has ended with it.
      *
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -87,7 +87,20 @@
     }
 
     /**
-     * Ends a job because its caller is gone or has come to another entry.
+     * Takes note that an asker is gone; a job that nobody waits for ends.
+     *
+     * @param id the job
+     * @param asker who is gone
+     */
+    public void leave(JobId id, Consumer<JobAnswer> asker) {
+        JobRun run = jobs.get(id);
+        if (run != null && !run.leave(asker)) {
+            abandon(id);
+        }
+    }
+
+    /**
+     * Ends a job because its caller has come to another entry.
      *
      * @param id the job
      * @return true if it was under way here
--- a/src/main/java/org/gypsumflow/command/JobRun.java
+++ b/src/main/java/org/gypsumflow/command/JobRun.java
@@ -63,6 +63,12 @@
         askers.add(asker);
     }
 
+    /** Removes an asker and tells whether any is left. */
+    boolean leave(Consumer<JobAnswer> asker) {
+        askers.remove(asker);
+        return !askers.isEmpty();
+    }
+
     void answer(JobAnswer answer) {
         askers.forEach(asker -> asker.accept(answer));
         askers.clear();
--- a/src/main/java/org/gypsumflow/model/DispatchMessage.java
+++ b/src/main/java/org/gypsumflow/model/DispatchMessage.java
@@ -152,16 +152,18 @@
     }
 
     /**
-     * Asks another entry to stop a job, since its caller has come to the sender, or cancels it here.
+     * Asks another process to stop a job, since its caller has come to the sender.
      *
      * @param job the job
+     * @param cancelled true if the caller has cancelled it, false if the sender will run it anew
      */
-    record GiveUpJob(JobId job) implements DispatchMessage {}
+    record GiveUpJob(JobId job, boolean cancelled) implements DispatchMessage {}
 
     /**
-     * Confirms that no task of a job runs for the sender any more.
+     * Confirms that a job has been told to stop wherever the sender had started it.
      *
      * @param job the job
+     * @param wasUnderWay true if it was under way until now, so that its tasks may still be stopping
      */
-    record JobGivenUp(JobId job) implements DispatchMessage {}
+    record JobGivenUp(JobId job, boolean wasUnderWay) implements DispatchMessage {}
 }
--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -17,7 +17,6 @@
 import org.gypsumflow.model.DispatchMessage;
 import org.gypsumflow.model.DispatchMessage.AgentReport;
 import org.gypsumflow.model.DispatchMessage.Ended;
-import org.gypsumflow.model.DispatchMessage.GiveUpJob;
 import org.gypsumflow.model.DispatchMessage.ShareState;
 import org.gypsumflow.model.DispatchMessage.StartOrders;
 import org.gypsumflow.model.DispatchMessage.StopOrders;
@@ -171,8 +170,6 @@
                 start.orders().forEach(order -> desk.order(from, order, now));
             } else if (message instanceof StopOrders stop) {
                 desk.stop(from, stop.job(), stop.indexes(), now);
-            } else if (message instanceof GiveUpJob giveUp) {
-                desk.stopJob(giveUp.job(), now);
             }
             act();
         });
--- a/src/main/java/org/gypsumflow/traffic/DispatchEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchEntry.java
@@ -1,13 +1,18 @@
 package org.gypsumflow.traffic;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gypsumflow.command.DispatchLimits;
 import org.gypsumflow.command.JobDispatcher;
 import org.gypsumflow.command.JobPorts;
+import org.gypsumflow.command.PeerJobs;
 import org.gypsumflow.command.PlacementRule;
 import org.gypsumflow.command.WorkerBoard;
 import org.gypsumflow.control.Lane;
@@ -19,7 +24,9 @@
 import org.gypsumflow.model.DispatchMessage;
 import org.gypsumflow.model.DispatchMessage.AgentReport;
 import org.gypsumflow.model.DispatchMessage.GiveUpJob;
+import org.gypsumflow.model.DispatchMessage.JobGivenUp;
 import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.ShareJobs;
 import org.gypsumflow.model.DispatchMessage.ShareState;
 import org.gypsumflow.model.DispatchMessage.StartOrders;
 import org.gypsumflow.model.DispatchMessage.StopOrders;
@@ -32,6 +39,11 @@
 
 /** The traffic of an entry: jobs in, orders out, answers back; its state belongs to the traffic lane. */
 public final class DispatchEntry implements NodeLinks.Listener {
+    private record Caller(Consumer<JobAnswer> asker, CompletableFuture<Void> abandoned) {}
+
+    /** Time for stops to reach the agents and for the workers to end the tasks, after another entry gave a job up. */
+    private static final Duration HANDOVER_PAUSE = DispatchLimits.STOP_TIME.plusMillis(150);
+
     private final Lane traffic;
     private final TimeSource time;
     private final EventLog events;
@@ -39,6 +51,9 @@
     private final Map<NodeName, Link> agents = new HashMap<>();
     private final Map<NodeName, Link> peers = new HashMap<>();
     private final WorkerBoard board = WorkerBoard.create();
+    private final PeerJobs peerJobs = PeerJobs.create();
+    private final Map<JobId, CompletableFuture<Boolean>> handovers = new HashMap<>();
+    private final List<JobId> taken = new ArrayList<>();
     private final JobDispatcher dispatcher;
     private CompletableFuture<Void> drained;
     private long tickMillis;
@@ -74,6 +89,7 @@
         traffic.every(DispatchLimits.REPORT, () -> {
             noticePause();
             dispatcher.tick(time.nanos());
+            shareTaken();
             finishDrain();
             return !stopped;
         });
@@ -109,14 +125,52 @@
     public CompletableFuture<JobAnswer> submit(
             BestEffortJob job, Duration timeLeft, CompletableFuture<Void> abandoned) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
-        abandoned.thenRunAsync(() -> leaveTo(job.id(), answer), traffic);
+        Caller caller = new Caller(answer::complete, abandoned);
         traffic.execute(() -> {
             noticePause();
-            dispatcher.submit(job, time.nanos(), timeLeft, answer::complete);
+            accept(job, timeLeft, caller);
         });
         return answer;
     }
 
+    private void accept(BestEffortJob job, Duration timeLeft, Caller caller) {
+        Optional<NodeName> holder = peerJobs.holder(job.id(), time.nanos());
+        Link peer = holder.map(peers::get).orElse(null);
+        if (peer == null) {
+            begin(job, timeLeft, caller);
+            return;
+        }
+        long asked = time.nanos();
+        CompletableFuture<Boolean> givenUp = handovers.computeIfAbsent(job.id(), id -> new CompletableFuture<>());
+        peer.send(new GiveUpJob(job.id(), false));
+        givenUp.completeOnTimeout(true, DispatchLimits.SILENCE.toMillis(), TimeUnit.MILLISECONDS);
+        traffic.whenDone(givenUp, (wasUnderWay, failure) -> {
+            handovers.remove(job.id(), givenUp);
+            peerJobs.forget(job.id());
+            Duration pause = wasUnderWay ? HANDOVER_PAUSE : Duration.ZERO;
+            Duration left = timeLeft.minusNanos(time.nanos() - asked).minus(pause);
+            traffic.after(pause, () -> begin(job, left, caller));
+        });
+    }
+
+    private void begin(BestEffortJob job, Duration timeLeft, Caller caller) {
+        if (caller.abandoned().isDone()) {
+            return;
+        }
+        taken.add(job.id());
+        dispatcher.submit(job, time.nanos(), timeLeft, caller.asker());
+        caller.abandoned().thenRun(() -> traffic.execute(() -> dispatcher.leave(job.id(), caller.asker())));
+    }
+
+    private void shareTaken() {
+        if (taken.isEmpty()) {
+            return;
+        }
+        ShareJobs share = new ShareJobs(taken);
+        peers.values().forEach(link -> link.send(share));
+        taken.clear();
+    }
+
     /**
      * Cancels a job here and wherever else it is under way.
      *
@@ -126,8 +180,9 @@
     public CompletableFuture<Boolean> cancel(JobId job) {
         CompletableFuture<Boolean> known = new CompletableFuture<>();
         traffic.execute(() -> {
-            peers.values().forEach(link -> link.send(new GiveUpJob(job)));
-            known.complete(dispatcher.cancel(job));
+            boolean elsewhere = peerJobs.holder(job, time.nanos()).isPresent();
+            peers.values().forEach(link -> link.send(new GiveUpJob(job, true)));
+            known.complete(dispatcher.cancel(job) || elsewhere);
         });
         return known;
     }
@@ -192,7 +247,12 @@
                 dispatcher.report(from, report, time.nanos());
                 finishDrain();
             } else if (message instanceof GiveUpJob giveUp) {
-                dispatcher.abandon(giveUp.job());
+                giveUp(from, giveUp);
+            } else if (message instanceof JobGivenUp givenUp) {
+                Optional.ofNullable(handovers.get(givenUp.job()))
+                        .ifPresent(handover -> handover.complete(givenUp.wasUnderWay()));
+            } else if (message instanceof ShareJobs share) {
+                share.taken().forEach(job -> peerJobs.taken(from, job, time.nanos()));
             }
         });
     }
@@ -218,9 +278,11 @@
         }
     }
 
-    private void leaveTo(JobId job, CompletableFuture<JobAnswer> answer) {
-        if (!answer.isDone()) {
-            dispatcher.abandon(job);
+    private void giveUp(NodeName from, GiveUpJob giveUp) {
+        boolean wasUnderWay = giveUp.cancelled() ? dispatcher.cancel(giveUp.job()) : dispatcher.abandon(giveUp.job());
+        Link peer = peers.get(from);
+        if (peer != null) {
+            peer.send(new JobGivenUp(giveUp.job(), wasUnderWay));
         }
     }
 
--- a/src/main/java/org/gypsumflow/wire/DispatchCodec.java
+++ b/src/main/java/org/gypsumflow/wire/DispatchCodec.java
@@ -73,11 +73,13 @@
                     .addAllTaken(
                             share.taken().stream().map(DispatchCodec::encode).toList()));
         } else if (message instanceof GiveUpJob giveUp) {
-            envelope.setGiveUpJob(
-                    org.gypsumflow.wire.generated.GiveUpJob.newBuilder().setJob(encode(giveUp.job())));
+            envelope.setGiveUpJob(org.gypsumflow.wire.generated.GiveUpJob.newBuilder()
+                    .setJob(encode(giveUp.job()))
+                    .setCancelled(giveUp.cancelled()));
         } else if (message instanceof JobGivenUp givenUp) {
-            envelope.setJobGivenUp(
-                    org.gypsumflow.wire.generated.JobGivenUp.newBuilder().setJob(encode(givenUp.job())));
+            envelope.setJobGivenUp(org.gypsumflow.wire.generated.JobGivenUp.newBuilder()
+                    .setJob(encode(givenUp.job()))
+                    .setWasUnderWay(givenUp.wasUnderWay()));
         }
         return envelope.build();
     }
@@ -103,8 +105,14 @@
                 new ShareJobs(envelope.getShareJobs().getTakenList().stream()
                         .map(DispatchCodec::job)
                         .toList());
-            case GIVE_UP_JOB -> new GiveUpJob(job(envelope.getGiveUpJob().getJob()));
-            case JOB_GIVEN_UP -> new JobGivenUp(job(envelope.getJobGivenUp().getJob()));
+            case GIVE_UP_JOB ->
+                new GiveUpJob(
+                        job(envelope.getGiveUpJob().getJob()),
+                        envelope.getGiveUpJob().getCancelled());
+            case JOB_GIVEN_UP ->
+                new JobGivenUp(
+                        job(envelope.getJobGivenUp().getJob()),
+                        envelope.getJobGivenUp().getWasUnderWay());
             default -> throw new IllegalArgumentException("the envelope holds no message about jobs");
         };
     }
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -170,6 +170,21 @@
         assertEquals(stopped.size(), sent.stream().map(Sent::agent).distinct().count());
     }
 
+    @Test
+    public void aJobEndsWhenTheLastOfItsAskersIsGone() {
+        java.util.function.Consumer<JobAnswer> early = answer -> {};
+        java.util.function.Consumer<JobAnswer> late = answer -> {};
+        BestEffortJob job = new BestEffortJob(
+                JobId.of("00000000000000bb"), ROUTE, "", 1, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+        dispatcher.submit(job, 0, PATIENCE, early);
+        dispatcher.submit(job, 0, PATIENCE, late);
+        dispatcher.leave(job.id(), early);
+        assertTrue(dispatcher.isUnderWay(job.id()));
+        dispatcher.leave(job.id(), late);
+        assertFalse(dispatcher.isUnderWay(job.id()));
+        assertEquals(stopped.size(), 1);
+    }
+
     @Test
     public void aProcessThatStoodStillGivesUpWhatOthersMayHaveTakenOver() {
         submit(1);
