--- a/src/main/java/org/gypsumflow/command/SlowestFit.java
+++ b/src/main/java/org/gypsumflow/command/SlowestFit.java
@@ -43,9 +43,10 @@
                 .filter(candidate -> candidate.room().failing() < MOST_FAILING)
                 .filter(candidate -> candidate.room().capacity().holds(wanted.needs()))
                 .toList());
+        double soundSlowness = median(sound);
         List<NodeName> chosen = new ArrayList<>();
         for (int task = 0; task < wanted.count(); task++) {
-            Optional<Candidate> best = best(wanted, sound);
+            Optional<Candidate> best = best(wanted, sound, soundSlowness);
             if (best.isEmpty()) {
                 return List.of();
             }
@@ -55,13 +56,13 @@
         return chosen;
     }
 
-    private static Optional<Candidate> best(Wanted wanted, List<Candidate> sound) {
+    private static Optional<Candidate> best(Wanted wanted, List<Candidate> sound, double soundSlowness) {
         Comparator<Candidate> order = Comparator.<Candidate>comparingLong(
                         candidate -> -waitMillis(candidate, wanted.needs()))
                 .thenComparing(candidate -> Math.floor(candidate.room().slowness() / SPEED_STEP))
                 .thenComparing(SlowestFit::freeShare);
         Optional<Candidate> inTime = sound.stream()
-                .filter(candidate -> endsInTime(wanted, candidate))
+                .filter(candidate -> endsInTime(wanted, candidate, soundSlowness))
                 .max(order);
         return inTime.isPresent() ? inTime : soonest(wanted, sound);
     }
@@ -74,11 +75,15 @@
                 .min(Comparator.comparingDouble(candidate -> endMillis(wanted, candidate, 1)));
     }
 
-    /** Both the running time and the objective move with the error of the estimate; the worse case decides. */
-    private static boolean endsInTime(Wanted wanted, Candidate candidate) {
-        boolean slowerThanObjective = candidate.room().slowness() > wanted.stretch();
+    /**
+     * Estimates may be off as a whole, and the objective counts the time on a sound worker: the median worker stands for
+     * that. Both the running time and the objective move with the error of a single estimate; the worse case decides.
+     */
+    private static boolean endsInTime(Wanted wanted, Candidate candidate, double soundSlowness) {
+        double stretch = wanted.stretch() * soundSlowness;
+        boolean slowerThanObjective = candidate.room().slowness() > stretch;
         double error = slowerThanObjective ? 1 + ESTIMATE_ERROR : 1 - ESTIMATE_ERROR;
-        double objective = error * wanted.estimate().toMillis() * wanted.stretch()
+        double objective = error * wanted.estimate().toMillis() * stretch
                 + wanted.allowance().toMillis();
         return endMillis(wanted, candidate, error) <= objective;
     }
@@ -88,6 +93,14 @@
         return OVERHEAD.toMillis() + waitMillis(candidate, wanted.needs()) + running;
     }
 
+    private static double median(List<Candidate> candidates) {
+        double[] sorted = candidates.stream()
+                .mapToDouble(candidate -> candidate.room().slowness())
+                .sorted()
+                .toArray();
+        return sorted.length == 0 ? 1 : sorted[(sorted.length - 1) / 2];
+    }
+
     private static double freeShare(Candidate candidate) {
         return (double) candidate.free().processorMillis()
                 / Math.max(1, candidate.room().capacity().processorMillis());
--- a/src/test/java/org/gypsumflow/command/SlowestFitTest.java
+++ b/src/test/java/org/gypsumflow/command/SlowestFitTest.java
@@ -74,6 +74,16 @@
         assertTrue(RULE.choose(job(4, 300), workers).isEmpty());
     }
 
+    @Test
+    public void estimatesThatAreTooHighEverywhereDoNotMakeSlowWorkersLookFit() {
+        List<Candidate> workers = List.of(
+                worker("one", 32, 0.7, 0),
+                worker("two", 32, 0.7, 0),
+                worker("three", 32, 0.7, 0),
+                worker("slow", 32, 1.53, 0));
+        assertTrue(!RULE.choose(job(4, 120), workers).contains(NodeName.of("slow")));
+    }
+
     @Test
     public void aTaskLargerThanAnyWorkerIsNeverPlaced() {
         Wanted wanted = new Wanted(
