--- a/src/main/java/org/gypsumflow/daemon/Daemon.java
+++ b/src/main/java/org/gypsumflow/daemon/Daemon.java
@@ -14,6 +14,19 @@
         return settings.role().equals(DaemonSettings.ENTRY) ? EntryDaemon.start(settings) : AgentDaemon.start(settings);
     }
 
+    /**
+     * Starts a daemon of the kind that its settings describe.
+     *
+     * @param reader where the settings stand
+     * @return the running daemon
+     * @throws org.gypsumflow.model.ValidationException if a setting is missing, wrong or unknown
+     */
+    static Daemon start(SettingsReader reader) {
+        return DispatchSettings.areIn(reader)
+                ? DispatchDaemon.start(DispatchSettings.read(reader))
+                : start(DaemonSettings.read(reader));
+    }
+
     /**
      * Returns the port on which it serves HTTP.
      *
--- a/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
@@ -144,11 +144,13 @@
     }
 
     private void begin() {
-        Member self = settings.self();
+        Relay relay = new Relay();
+        int port = transport.listen(settings.self().host(), settings.self().port(), relay);
+        Member self = settings.self().at(port);
         Incarnation incarnation = Incarnation.fresh();
         links = NodeLinks.create(self, incarnation, control, TimeSource.system(), transport::dial, listener(), events);
         front.start();
-        transport.listen(self.host(), self.port(), links);
+        relay.to(links);
         links.start();
         directory = MemberDirectory.create(
                 self, store, control, links, MemberRecords::encode, MemberRecords::decode, events);
--- a/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
@@ -54,7 +54,7 @@
                 entry ? Member.Role.ENTRY : Member.Role.AGENT,
                 AvailabilityZone.of(reader.text("zone")),
                 reader.text("host"),
-                reader.number("port", 0, 1, MOST_PORT));
+                reader.number("port", 0, 0, MOST_PORT));
         DispatchSettings settings = new DispatchSettings(
                 self,
                 entry ? address(reader, "dispatch.callers-address") : null,
--- a/src/main/java/org/gypsumflow/model/Member.java
+++ b/src/main/java/org/gypsumflow/model/Member.java
@@ -17,4 +17,14 @@
         /** Starts tasks on the worker beside it. */
         AGENT
     }
+
+    /**
+     * Changes the port.
+     *
+     * @param actual TCP port on which it listens
+     * @return the process at that port
+     */
+    public Member at(int actual) {
+        return new Member(node, role, zone, host, actual);
+    }
 }
--- /dev/null
+++ b/src/test/java/org/gypsumflow/daemon/PlatformPathTest.java
@@ -0,0 +1,127 @@
+package org.gypsumflow.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import org.gypsumflow.http.HttpCaller.Answer;
+import org.gypsumflow.standin.PlatformSite;
+import org.gypsumflow.standin.PlatformSite.Running;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Runs the real daemons over sockets against stand-ins that speak the platform's protocol. */
+public final class PlatformPathTest {
+    private static final int MOST_TRIES = 300;
+
+    private PlatformSite site;
+
+    @BeforeMethod
+    public void startASite() {
+        site = PlatformSite.start(Duration.ofMillis(50), settings -> {
+            Daemon daemon = Daemon.start(SettingsReader.ofText(settings));
+            return new Running(daemon.httpPort(), daemon::abort);
+        });
+    }
+
+    @AfterMethod
+    public void stopTheSite() {
+        site.close();
+    }
+
+    private static void until(String what, BooleanSupplier condition) {
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            CompletableFuture.runAsync(() -> {}, CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS))
+                    .join();
+        }
+        throw new IllegalStateException("waited in vain until " + what);
+    }
+
+    private void open() {
+        site.putRoutes(1);
+        site.report("ready").join();
+        until("a job is answered", () -> site.send("00000000000000ff", 1).join().status() == 200);
+    }
+
+    private static String text(Answer answer) {
+        return new String(answer.body(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void anEntryWithoutRoutesIsNotReadyAndRefusesJobs() {
+        assertEquals(site.ready().join().status(), 503);
+        assertEquals(site.send("0000000000000001", 1).join().status(), 503);
+    }
+
+    @Test
+    public void aJobIsAnsweredWholeAndEachTaskStartsOnce() {
+        open();
+        Answer answer = site.send("0000000000000002", 5).join();
+        assertEquals(text(answer), "{\"state\":\"done\"}");
+        List<String> starts = site.worker().starts().stream()
+                .filter(task -> task.startsWith("0000000000000002"))
+                .sorted()
+                .toList();
+        assertEquals(
+                starts,
+                IntStream.range(0, 5)
+                        .mapToObj(index -> "0000000000000002.0.0." + index)
+                        .toList());
+    }
+
+    @Test
+    public void anUnknownRouteAnUnknownJobAndAnEmptyQueueAreToldApart() {
+        open();
+        assertEquals(site.get("/elsewhere/0000000000000003").join().status(), 404);
+        assertEquals(site.get("/jobs/0000000000000003").join().status(), 410);
+        assertEquals(text(site.get("/jobs/").join()), "{\"pending\":0}");
+    }
+
+    @Test
+    public void jobsGoOnWhileTheStoreIsDown() {
+        open();
+        site.store().setDown(true);
+        assertEquals(site.send("0000000000000004", 3).join().status(), 200);
+    }
+
+    @Test
+    public void aDrainingWorkerStartsNothing() {
+        open();
+        int before = site.worker().starts().size();
+        assertEquals((int) site.report("draining").join(), 200);
+        assertEquals(site.send("0000000000000005", 1).join().status(), 503);
+        assertEquals(site.worker().starts().size(), before);
+    }
+
+    @Test
+    public void aZoneThatIsEmptiedStartsNothingUntilItIsTakenBack() {
+        open();
+        site.store().put("keyed.op", "evacuate/sofia", "{}");
+        until(
+                "the zone is closed",
+                () -> site.send("0000000000000006", 1).join().status() == 503);
+        int before = site.worker().starts().size();
+        site.send("0000000000000007", 1).join();
+        assertEquals(site.worker().starts().size(), before);
+        site.store().put("keyed.op", "evacuate/sofia", "");
+        until("the zone is open", () -> site.send("0000000000000008", 1).join().status() == 200);
+        assertTrue(site.worker().starts().size() > before);
+    }
+
+    @Test
+    public void newRoutesComeIntoForce() {
+        open();
+        site.store().put("keyed.op", "config", "{\"version\":9,\"routes\":[],\"services\":[]}");
+        until("the route is gone", () -> site.get("/jobs/").join().status() == 404);
+    }
+}
