--- a/src/main/java/org/gypsumflow/control/MemberDirectory.java
+++ b/src/main/java/org/gypsumflow/control/MemberDirectory.java
@@ -13,7 +13,7 @@
 /** Makes a process known to the others through the store, and keeps connections to those that it finds there. */
 public final class MemberDirectory {
     /** Topic that holds the address of each process under the name of its host. */
-    static final String TOPIC = "keyed.gypsumflow-members";
+    static final String TOPIC = "gypsumflow-members";
 
     /** Pause after a failed write of the own address; the store's rates are shared. */
     private static final Duration PAUSE = Duration.ofMillis(500);
--- a/src/main/java/org/gypsumflow/daemon/DispatchEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchEntryDaemon.java
@@ -7,15 +7,13 @@
 import org.gypsumflow.control.NodeLinks;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.HttpFront;
-import org.gypsumflow.http.HttpFront.Reply;
 import org.gypsumflow.platform.JobCalls;
 import org.gypsumflow.platform.OperatorRecords;
+import org.gypsumflow.platform.Readiness;
 import org.gypsumflow.traffic.DispatchEntry;
 
 /** The entry role on the users' platform. */
 final class DispatchEntryDaemon extends DispatchDaemon {
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
     /** The platform needs two seconds to see that a host is not ready; until then new callers arrive. */
     private static final Duration STILL_TAKING = Duration.ofMillis(2200);
 
@@ -26,7 +24,7 @@
         super(settings, settings.callers());
         this.entry = DispatchEntry.create(traffic(), TimeSource.system(), SoonestEnd.rule(), state(), events());
         HttpFront front = front();
-        front.plain("/readyz", call -> CompletableFuture.completedFuture(readiness()));
+        Readiness.register(front, this::isReady);
         JobCalls.register(
                 front, () -> state().known().table(), entry::submit, entry::cancel, entry::isUnderWay, events());
     }
@@ -70,8 +68,7 @@
         return true;
     }
 
-    private Reply readiness() {
-        boolean ready = !leaving && state().known().table().isKnown() && entry.hasAgents();
-        return ready ? Reply.text(OK, "ready") : Reply.text(UNAVAILABLE, leaving ? "leaving" : "not ready");
+    private boolean isReady() {
+        return !leaving && state().known().table().isKnown() && entry.hasAgents();
     }
 }
--- a/src/main/java/org/gypsumflow/platform/HttpKeyedLog.java
+++ b/src/main/java/org/gypsumflow/platform/HttpKeyedLog.java
@@ -23,6 +23,9 @@
     /** Longest wait for an answer beyond the wait that the call asks for; the store usually takes 4 ms. */
     private static final Duration ANSWER_WITHIN = Duration.ofMillis(1500);
 
+    /** The store keeps the newest record of each key in topics whose names begin so. */
+    private static final String KEYED = "keyed.";
+    /** End and first retained offset, which stand before the records. */
     private static final int READ_HEADER_BYTES = 16;
 
     private final HttpCaller caller;
@@ -51,7 +54,7 @@
 
     @Override
     public CompletableFuture<Page> read(String topic, long from, Duration wait) {
-        String query = "/log-read?part=0&topic=" + topic + "&from=" + from + "&waitMs=" + wait.toMillis();
+        String query = "/log-read?part=0&topic=" + KEYED + topic + "&from=" + from + "&waitMs=" + wait.toMillis();
         return caller.get(baseUrl + query, Map.of(), ANSWER_WITHIN.plus(wait)).thenApply(answer -> {
             if (answer.status() == GONE) {
                 throw new ExpiredException(
@@ -70,14 +73,15 @@
                 .put((byte) name.length)
                 .put(name)
                 .put(value);
-        return caller.post(baseUrl + "/log-append?part=0&topic=" + topic, Map.of(), record.array(), ANSWER_WITHIN)
+        return caller.post(
+                        baseUrl + "/log-append?part=0&topic=" + KEYED + topic, Map.of(), record.array(), ANSWER_WITHIN)
                 .thenAccept(HttpKeyedLog::requireOk);
     }
 
     /** Pages are not one moment: reading on from the first page's end repeats records rather than missing one. */
     private CompletableFuture<Page> newestAfter(String topic, String after, List<KeyedRecord> found, long end) {
         String more = after.isEmpty() ? "" : "&dependsOn=" + URLEncoder.encode(after, StandardCharsets.UTF_8);
-        return caller.get(baseUrl + "/log-newest?part=0&topic=" + topic + more, Map.of(), ANSWER_WITHIN)
+        return caller.get(baseUrl + "/log-newest?part=0&topic=" + KEYED + topic + more, Map.of(), ANSWER_WITHIN)
                 .thenCompose(answer -> {
                     requireOk(answer);
                     JsonNode page = Json.object(answer.body());
--- a/src/main/java/org/gypsumflow/platform/OperatorRecords.java
+++ b/src/main/java/org/gypsumflow/platform/OperatorRecords.java
@@ -23,7 +23,7 @@
 /** Reads what the operator writes to the store; used on one lane. */
 public final class OperatorRecords {
     /** Topic of the operator's records. */
-    public static final String TOPIC = "keyed.op";
+    public static final String TOPIC = "op";
 
     private static final String ROUTES_KEY = "config";
     private static final String EVACUATION_PREFIX = "evacuate/";
--- a/src/test/java/org/gypsumflow/ArchitectureTest.java
+++ b/src/test/java/org/gypsumflow/ArchitectureTest.java
@@ -3,10 +3,18 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.testng.Assert.assertEquals;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 public final class ArchitectureTest {
@@ -30,8 +38,8 @@
                 .resideInAnyPackage(packages("model"))
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(
-                        packages("command", "query", "control", "traffic", "platform", "wire", "http", "daemon", "cli"))
+                .resideInAnyPackage(packages(
+                        "command", "query", "control", "traffic", "platform", "log", "wire", "http", "daemon", "cli"))
                 .check(classes);
     }
 
@@ -128,13 +136,57 @@
                 .check(classes);
     }
 
+    @Test
+    public void onlyStartUpKnowsThePlatformsAdapter() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackages(ROOT + "platform..", ROOT + "daemon..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(packages("platform"))
+                .check(classes);
+    }
+
+    @Test
+    public void theAdapterDecidesNothing() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(packages("platform"))
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(packages("command", "control", "query", "wire", "daemon"))
+                .check(classes);
+    }
+
+    @Test
+    public void namesOfThePlatformsWireStandOnlyInItsAdapterAndTheStandIns() throws IOException {
+        Pattern names = Pattern.compile("\"(fencingToken|ackedThrough|untilMs|waitMs|heartbeatUrl|pathPrefix|bestEffort"
+                + "|estimateMs|memMb|maxAttempts|targetLatencyMs|enforcesCapacity|clockMs|evacuate/|keyed\\.op)\\b");
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            List<Path> strangers = files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> !file.toString().contains("/platform/")
+                            && !file.toString().contains("/standin/"))
+                    .filter(file -> names.matcher(read(file)).find())
+                    .toList();
+            assertEquals(strangers, List.of());
+        }
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+
     @Test
     public void idsAreValueTypes() {
         classes()
                 .that()
                 .resideInAPackage(ROOT + "model")
                 .and()
-                .haveNameMatching(".*(Name|Id|Digest|Nonce|Version|Incarnation|Key|Attempt)")
+                .haveNameMatching(".*(Name|Id|Digest|Nonce|Version|Incarnation|Key|Attempt|RunNumber)")
                 .should()
                 .beRecords()
                 .check(classes);
--- /dev/null
+++ b/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
@@ -0,0 +1,181 @@
+package org.gypsumflow.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.SoonestEnd;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.control.SharedState;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.GiveUpJob;
+import org.gypsumflow.model.DispatchMessage.JobGivenUp;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.ShareJobs;
+import org.gypsumflow.model.DispatchMessage.StartOrders;
+import org.gypsumflow.model.DispatchMessage.WorkerRoom;
+import org.gypsumflow.model.JobAnswer;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.Message;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.Verdict;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class DispatchEntryTest {
+    private static final NodeName AGENT = NodeName.of("agent");
+    private static final NodeName PEER = NodeName.of("peer");
+    private static final Route ROUTE = new Route(
+            RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 2, 1.6, Duration.ofMillis(60), Duration.ofSeconds(2));
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+
+    /** Runs actions at once, and delayed ones when the test lets time pass. */
+    private static final class ManualLane implements Lane {
+        private record Later(long atMillis, Runnable action) {}
+
+        private final List<Later> later = new ArrayList<>();
+        private long nowMillis = 1_000_000;
+
+        @Override
+        public void execute(Runnable action) {
+            action.run();
+        }
+
+        @Override
+        public void after(Duration delay, Runnable action) {
+            later.add(new Later(nowMillis + delay.toMillis(), action));
+        }
+
+        private void pass(long millis) {
+            long end = nowMillis + millis;
+            while (nowMillis < end) {
+                nowMillis++;
+                List<Later> due = later.stream()
+                        .filter(each -> each.atMillis <= nowMillis)
+                        .toList();
+                later.removeAll(due);
+                due.forEach(each -> each.action.run());
+            }
+        }
+    }
+
+    private record Recorder(List<Message> sent) implements Link {
+        @Override
+        public void send(Message message) {
+            sent.add(message);
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    private ManualLane lane;
+    private Recorder agent;
+    private Recorder peer;
+    private DispatchEntry entry;
+
+    @BeforeMethod
+    public void startAnEntryWithAnAgentAndAPeer() {
+        lane = new ManualLane();
+        agent = new Recorder(new ArrayList<>());
+        peer = new Recorder(new ArrayList<>());
+        TimeSource time = new TimeSource(() -> Duration.ofMillis(lane.nowMillis).toNanos(), () -> lane.nowMillis);
+        entry = DispatchEntry.create(
+                lane, time, SoonestEnd.rule(), SharedState.create((event, details) -> {}), (event, details) -> {});
+        entry.start();
+        entry.connected(member(AGENT, Member.Role.AGENT), agent);
+        entry.connected(member(PEER, Member.Role.ENTRY), peer);
+        entry.message(AGENT, new AgentReport(List.of(), room()));
+    }
+
+    private static Member member(NodeName name, Member.Role role) {
+        return new Member(name, role, AvailabilityZone.of("sofia"), "127.0.0.1", 1);
+    }
+
+    private static WorkerRoom room() {
+        Resources capacity = Resources.of(32_000, 100_000, 0);
+        return new WorkerRoom(true, "s", "sofia", capacity, capacity, Resources.NONE, Duration.ofMillis(100), 1, 0, 0);
+    }
+
+    private CompletableFuture<JobAnswer> submit(String id, CompletableFuture<Void> abandoned) {
+        BestEffortJob job =
+                new BestEffortJob(JobId.of(id), ROUTE, "", 1, Resources.of(1000, 10, 0), Duration.ofMillis(300));
+        return entry.submit(job, PATIENCE, abandoned);
+    }
+
+    private List<Order> orders() {
+        return agent.sent().stream()
+                .filter(StartOrders.class::isInstance)
+                .flatMap(message -> ((StartOrders) message).orders().stream())
+                .toList();
+    }
+
+    @Test
+    public void aLeavingEntryTakesJobsForAWhileAndThenRefusesThemInsteadOfCuttingThem() {
+        CompletableFuture<Void> drained = entry.drain(Duration.ofSeconds(2));
+        CompletableFuture<JobAnswer> early = submit("00000000000000a1", new CompletableFuture<>());
+        lane.pass(2000);
+        assertEquals(orders().size(), 1);
+        assertFalse(drained.isDone());
+        assertEquals(
+                submit("00000000000000a2", new CompletableFuture<>()).join().verdict(), Verdict.NOT_RUN);
+        Order order = orders().get(0);
+        Ended ended = new Ended(order.task(), order.run(), TaskEnding.DONE, Duration.ofMillis(100));
+        entry.message(AGENT, new AgentReport(List.of(ended), room()));
+        assertEquals(early.join(), JobAnswer.completed());
+        assertTrue(drained.isDone());
+    }
+
+    @Test
+    public void aJobThatAnotherEntryWorksOnStartsOnlyAfterThatOneHasGivenItUp() {
+        JobId job = JobId.of("00000000000000a3");
+        entry.message(PEER, new ShareJobs(List.of(job)));
+        submit(job.value(), new CompletableFuture<>());
+        assertEquals(peer.sent(), List.of(new GiveUpJob(job, false)));
+        assertTrue(orders().isEmpty());
+        entry.message(PEER, new JobGivenUp(job, true));
+        assertTrue(orders().isEmpty());
+        lane.pass(250);
+        assertEquals(orders().size(), 1);
+    }
+
+    @Test
+    public void jobsTakenHereAreToldToTheOtherEntries() {
+        submit("00000000000000a4", new CompletableFuture<>());
+        lane.pass(150);
+        assertEquals(peer.sent(), List.of(new ShareJobs(List.of(JobId.of("00000000000000a4")))));
+    }
+
+    @Test
+    public void workThatNobodyWaitsForIsStopped() {
+        CompletableFuture<Void> abandoned = new CompletableFuture<>();
+        CompletableFuture<JobAnswer> answer = submit("00000000000000a5", abandoned);
+        int before = agent.sent().size();
+        abandoned.complete(null);
+        assertEquals(agent.sent().size(), before + 1);
+        assertFalse(answer.isDone());
+    }
+
+    @Test
+    public void anEntryThatStoodStillStopsWhatItHadUnderWay() {
+        CompletableFuture<JobAnswer> answer = submit("00000000000000a6", new CompletableFuture<>());
+        lane.nowMillis += 4000;
+        lane.pass(200);
+        assertEquals(answer.join().verdict(), Verdict.MAY_HAVE_RUN);
+    }
+}
