--- a/src/main/java/org/gypsumflow/command/AgentDesk.java
+++ b/src/main/java/org/gypsumflow/command/AgentDesk.java
@@ -95,6 +95,16 @@
      */
     public record Run(TaskName task, RunNumber run, String specification) {}
 
+    /**
+     * A run that stood still.
+     *
+     * @param run the run
+     * @param ran how long it ran
+     * @param estimate how long it was thought to run
+     * @param percent how much of it was done, 0 to 100
+     */
+    public record Stuck(Run run, Duration ran, Duration estimate, int percent) {}
+
     /**
      * An end with the entry that must hear of it.
      *
@@ -428,13 +438,15 @@
      * @param nowNanos monotonic clock
      * @return runs that stood still
      */
-    public List<Run> tick(long nowNanos) {
+    public List<Stuck> tick(long nowNanos) {
         returnWaiting(entry -> nowNanos - entry.latestStartNanos() > 0, nowNanos);
-        List<Run> stuck = new ArrayList<>();
+        List<Stuck> stuck = new ArrayList<>();
         for (Entry entry : List.copyOf(entries.values())) {
             if (entry.stage == Stage.RUNNING && isStuck(entry, nowNanos)) {
                 statistics.failed(nowNanos);
-                stuck.add(new Run(entry.order.task(), entry.workerRun, ""));
+                Run run = new Run(entry.order.task(), entry.workerRun, "");
+                Duration ran = Duration.ofNanos(nowNanos - entry.startedNanos);
+                stuck.add(new Stuck(run, ran, entry.order.estimate(), entry.percent));
                 stop(entry);
             }
         }
--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.AgentDesk;
 import org.gypsumflow.command.AgentDesk.OwnedEnd;
+import org.gypsumflow.command.AgentDesk.Stuck;
 import org.gypsumflow.command.DispatchLimits;
 import org.gypsumflow.control.Lane;
 import org.gypsumflow.control.Link;
@@ -199,9 +200,7 @@
 
     private void tick() {
         noticePause();
-        desk.tick(time.nanos())
-                .forEach(run ->
-                        events.write(Event.TASK_STUCK, run.task(), run.run().value(), "", "", ""));
+        desk.tick(time.nanos()).forEach(this::logStuck);
         act();
         logStanding();
         for (Map.Entry<NodeName, Owner> each : owners.entrySet()) {
@@ -209,6 +208,16 @@
         }
     }
 
+    private void logStuck(Stuck stuck) {
+        events.write(
+                Event.TASK_STUCK,
+                stuck.run().task(),
+                stuck.run().run().value(),
+                stuck.ran().toMillis(),
+                stuck.estimate().toMillis(),
+                stuck.percent());
+    }
+
     private void logStanding() {
         if (time.nanos() - standingNanos < STANDING_EVERY.toNanos()) {
             return;
