Bound heartbeats and reports by the number of connections

Any message now counts as a sign of life, heartbeats fill pauses only, and an agent of many entries reports to each less often.

--- a/src/main/java/org/gypsumflow/command/DispatchLimits.java
+++ b/src/main/java/org/gypsumflow/command/DispatchLimits.java
@@ -12,9 +12,11 @@
  * both sums, counted from the last message that the entry received.
  */
 public final class DispatchLimits {
-    /** Time between heartbeats on an otherwise idle connection; a third of the silence that ends it. */
+    /** Time between looks at the connections; four fit into the silence that ends one. */
     public static final Duration HEARTBEAT = Duration.ofMillis(150);
-    /** Silence after which a connection is taken to be dead; four heartbeats, so that one may be late. */
+    /** A connection that carried nothing for this long gets a heartbeat at the next look, at most 200 ms after the last. */
+    public static final Duration HEARTBEAT_IF_QUIET = Duration.ofMillis(50);
+    /** Silence after which a connection is taken to be dead; three heartbeats, so that one may be late. */
     public static final Duration SILENCE = Duration.ofMillis(600);
     /** How long a worker goes on without a renewal; below the platform's bound of one second on leases. */
     public static final Duration LEASE = Duration.ofMillis(900);
@@ -26,6 +28,8 @@
     public static final Duration PAUSE = Duration.ofMillis(450);
     /** Time between an agent's unasked reports of its room while it changes; a trade of bytes against collisions. */
     public static final Duration REPORT = Duration.ofMillis(100);
+    /** Number of entries from which an agent reports to each of them less often, to bound its messages a second. */
+    public static final int ENTRIES_AT_FULL_RATE = 6;
     /** Multiple of the objective after which an answer earns its caller nothing. */
     public static final double USELESS_AFTER = 3.0;
 
--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -78,6 +78,7 @@
 
     private static final class State {
         private volatile long heardNanos;
+        private volatile long sentNanos;
         private volatile Member member;
 
         private State(long heardNanos) {
@@ -85,6 +86,20 @@
         }
     }
 
+    /** Remembers when something was last sent, since any message shows that the sender is there. */
+    private record NotedLink(Link link, State state, TimeSource time) implements Link {
+        @Override
+        public void send(Message message) {
+            state.sentNanos = time.nanos();
+            link.send(message);
+        }
+
+        @Override
+        public void close() {
+            link.close();
+        }
+    }
+
     private final Member self;
     private final Incarnation incarnation;
     private final Lane control;
@@ -228,7 +243,7 @@
             link.send(new Introduce(self, incarnation));
         }
         events.write(Event.NODE_CONNECTED, member.role(), member.node(), member.zone(), introduce.incarnation());
-        listener.connected(member, link);
+        listener.connected(member, new NotedLink(link, state, time));
     }
 
     private void dial(NodeName node) {
@@ -257,7 +272,8 @@
                         link,
                         "silent for " + Duration.ofNanos(now - state.heardNanos).toMillis() + " ms");
                 link.close();
-            } else if (state.member != null) {
+            } else if (state.member != null && now - state.sentNanos > DispatchLimits.HEARTBEAT_IF_QUIET.toNanos()) {
+                state.sentNanos = now;
                 link.send(new Heartbeat(now));
             }
         });
--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -264,8 +264,9 @@
 
     private void tellIfChanged(NodeName name, Owner owner) {
         WorkerRoom room = desk.roomFor(name, time.nanos());
-        boolean repeat = time.nanos() - owner.toldNanos > REPEAT.toNanos();
-        if (repeat || !room.equals(owner.told)) {
+        long sinceTold = time.nanos() - owner.toldNanos;
+        long spacing = DispatchLimits.REPORT.toNanos() * (owners.size() / DispatchLimits.ENTRIES_AT_FULL_RATE);
+        if (sinceTold > REPEAT.toNanos() || (sinceTold > spacing && !room.equals(owner.told))) {
             tell(owner, List.of(), room);
         }
     }
