--- a/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
@@ -18,7 +18,6 @@
  * @param reports where the worker reports itself, agents only
  * @param worker where the worker takes orders, as {@code host:port}, agents only
  * @param store where the platform's store listens, as {@code host:port}
- * @param metricsPort TCP port for metrics
  * @param grace time between the request to stop and the end of the process at the platform's hands
  */
 record DispatchSettings(
@@ -28,7 +27,6 @@
         InetSocketAddress reports,
         String worker,
         String store,
-        int metricsPort,
         Duration grace) {
     private static final String TABLE = "dispatch";
     private static final Set<String> ENTRY_ONLY = Set.of("dispatch.callers-address", "dispatch.readiness-address");
@@ -62,7 +60,6 @@
                 entry ? null : address(reader, "dispatch.reports-address"),
                 entry ? "" : reader.text("dispatch.worker-address"),
                 reader.text("dispatch.store-address"),
-                reader.number("dispatch.metrics-port", 0, 0, MOST_PORT),
                 Duration.ofSeconds(reader.number("dispatch.grace-seconds", 6, 1, MOST_GRACE_SECONDS)));
         reader.ignore(entry ? AGENT_ONLY : ENTRY_ONLY);
         reader.finish();
--- /dev/null
+++ b/src/test/java/org/gypsumflow/daemon/DispatchSettingsTest.java
@@ -0,0 +1,63 @@
+package org.gypsumflow.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.ValidationException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class DispatchSettingsTest {
+    private static final String AGENT = String.join(
+            "\n",
+            "role = \"agent\"",
+            "name = \"side-sofia-1\"",
+            "zone = \"sofia\"",
+            "host = \"10.1.0.14\"",
+            "port = 7720",
+            "[dispatch]",
+            "store-address = \"10.200.1.7:8169\"",
+            "callers-address = \"\"",
+            "readiness-address = \"\"",
+            "reports-address = \"10.1.0.14:8166\"",
+            "worker-address = \"10.1.0.14:8165\"",
+            "grace-seconds = 6");
+
+    private static DispatchSettings read(String text) {
+        return DispatchSettings.read(SettingsReader.ofText(text));
+    }
+
+    @Test
+    public void whatBelongsToTheOtherRoleMayBeEmpty() {
+        DispatchSettings settings = read(AGENT);
+        assertEquals(settings.self().role(), Member.Role.AGENT);
+        assertEquals(settings.reports().getPort(), 8166);
+        assertEquals(settings.grace().toSeconds(), 6);
+    }
+
+    @Test
+    public void settingsWithoutThatTableAreOfTheOtherKind() {
+        assertTrue(DispatchSettings.areIn(SettingsReader.ofText(AGENT)));
+        assertFalse(DispatchSettings.areIn(SettingsReader.ofText("role = \"agent\"")));
+    }
+
+    @DataProvider
+    public Object[][] wrong() {
+        return new Object[][] {
+            {AGENT.replace("\"agent\"", "\"king\""), "role"},
+            {AGENT.replace("10.1.0.14:8166", "10.1.0.14"), "dispatch.reports-address"},
+            {AGENT.replace("grace-seconds = 6", "grace-seconds = 0"), "dispatch.grace-seconds"},
+            {AGENT.replace("store-address", "store-adress"), "dispatch.store-address"},
+            {AGENT + "\nmood = 1", "dispatch.mood"},
+        };
+    }
+
+    @Test(dataProvider = "wrong")
+    public void aWrongSettingIsRefusedByName(String text, String name) {
+        ValidationException refusal = expectThrows(ValidationException.class, () -> read(text));
+        assertTrue(refusal.getMessage().contains(name), refusal.getMessage());
+    }
+}
