--- /dev/null
+++ b/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
@@ -0,0 +1,108 @@
+package org.gypsumflow.bench.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * A named pattern of load.
+ *
+ * @param name name on the command line
+ * @param load mean load as a share of the work that all workers can do
+ * @param entries number of entries
+ * @param firstEntryShare share of the jobs that come to the first entry
+ * @param estimateError estimates are off by up to this share
+ * @param events what happens during the pattern
+ */
+record LoadPattern(
+        String name, double load, int entries, double firstEntryShare, double estimateError, List<LoadEvent> events) {
+    /** How long jobs arrive. */
+    static final Duration LENGTH = Duration.ofSeconds(30);
+
+    private static final int ENTRIES = 4;
+    private static final double ESTIMATE_ERROR = 0.4;
+    private static final Duration BEGIN = Duration.ofSeconds(8);
+    private static final Duration END = Duration.ofSeconds(16);
+
+    /**
+     * Something that happens at a time.
+     *
+     * @param at when, from the first job on
+     * @param change what it does
+     */
+    record LoadEvent(Duration at, Consumer<LoadRun> change) {}
+
+    /** Lists all patterns by name. */
+    static Map<String, LoadPattern> all() {
+        Map<String, LoadPattern> patterns = new LinkedHashMap<>();
+        for (LoadPattern pattern : List.of(
+                plain("steady-65", 0.65),
+                plain("steady-85", 0.85),
+                during("burst-of-all", 0.75, run -> run.multiply(1.6), run -> run.multiply(1)),
+                during("burst-of-long-jobs", 0.75, run -> run.multiply(1, 2.2), run -> run.multiply(1, 1)),
+                at("zone-lost", 0.7, LoadRun::loseZone),
+                during(
+                        "slow-quarter",
+                        0.65,
+                        run -> run.onWorkers(0.25, worker -> worker.slowDown(6)),
+                        run -> run.onWorkers(0.25, worker -> worker.slowDown(1))),
+                during(
+                        "failing-workers",
+                        0.65,
+                        run -> run.onWorkers(0.2, worker -> worker.fail(1)),
+                        run -> run.onWorkers(0.2, worker -> worker.fail(0))),
+                during(
+                        "half-failing-workers",
+                        0.65,
+                        run -> run.onWorkers(0.2, worker -> worker.fail(0.5)),
+                        run -> run.onWorkers(0.2, worker -> worker.fail(0))),
+                during(
+                        "hanging-workers",
+                        0.65,
+                        run -> run.onWorkers(0.1, worker -> worker.hang(true)),
+                        run -> run.onWorkers(0.1, worker -> worker.hang(false))),
+                during("cancel-wave", 0.85, run -> run.cancelShare(0.4), run -> run.cancelShare(0)),
+                during("poisoned-jobs", 0.75, run -> run.poisonShare(0.1), run -> run.poisonShare(0)),
+                plain("estimates-far-off", 0.75).withEstimateError(0.75),
+                plain("uneven-entries", 0.75).withFirstEntryShare(0.6),
+                plain("one-entry", 0.75).withEntries(1),
+                plain("thirteen-entries", 0.75).withEntries(13),
+                plain("overload", 1.3))) {
+            patterns.put(pattern.name, pattern);
+        }
+        return patterns;
+    }
+
+    private static LoadPattern plain(String name, double load) {
+        return new LoadPattern(name, load, ENTRIES, 1.0 / ENTRIES, ESTIMATE_ERROR, List.of());
+    }
+
+    private static LoadPattern at(String name, double load, Consumer<LoadRun> change) {
+        return plain(name, load).with(new LoadEvent(BEGIN, change));
+    }
+
+    private static LoadPattern during(String name, double load, Consumer<LoadRun> begin, Consumer<LoadRun> end) {
+        return at(name, load, begin).with(new LoadEvent(END, end));
+    }
+
+    private LoadPattern with(LoadEvent event) {
+        List<LoadEvent> more = new ArrayList<>(events);
+        more.add(event);
+        return new LoadPattern(name, load, entries, firstEntryShare, estimateError, List.copyOf(more));
+    }
+
+    private LoadPattern withEstimateError(double error) {
+        return new LoadPattern(name, load, entries, firstEntryShare, error, events);
+    }
+
+    private LoadPattern withFirstEntryShare(double share) {
+        return new LoadPattern(name, load, entries, share, estimateError, events);
+    }
+
+    private LoadPattern withEntries(int number) {
+        return new LoadPattern(name, load, number, 1.0 / number, estimateError, events);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/bench/load/LoadRun.java
@@ -0,0 +1,226 @@
+package org.gypsumflow.bench.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.gypsumflow.bench.load.JobKind.Drawn;
+import org.gypsumflow.bench.load.LoadReport.Fate;
+import org.gypsumflow.command.PlacementRule;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.JobAnswer;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.Verdict;
+
+/** One play of a pattern under one rule; the same seed gives the same jobs whatever the rule. */
+final class LoadRun {
+    /** Workers of the model: the number, sizes and speeds of the users' deployments of today. */
+    private static final int WORKERS = 11;
+
+    private static final int ZONES = 4;
+    private static final double SLOW_SPEED = 0.55;
+    private static final double USUAL_SPEED = 1.2;
+    /** Every so many workers one is slow. */
+    private static final int SLOW_EVERY = 4;
+    /** Every so many workers one is larger. */
+    private static final int LARGE_EVERY = 3;
+
+    private static final Resources USUAL = Resources.of(32_000, 131_072, 0);
+    private static final Resources LARGE = Resources.of(48_000, 196_608, 0);
+    /** Time for agents to make themselves known before jobs arrive. */
+    private static final Duration LEAD = Duration.ofSeconds(1);
+    /** Time for the last jobs to end. */
+    private static final Duration TAIL = Duration.ofSeconds(15);
+    /** How long callers wait, as a multiple of the objective; as seen on the platform. */
+    private static final double PATIENCE = 4;
+    /** Time after which callers of a wave cancel. */
+    private static final Duration CANCEL_AFTER = Duration.ofMillis(80);
+
+    private final LoadPattern pattern;
+    private final VirtualTime time = VirtualTime.create();
+    private final ModelNetwork network = new ModelNetwork(time);
+    private final LoadReport report = LoadReport.create();
+    private final Map<JobId, Drawn> drawn = new HashMap<>();
+    private final List<ModelWorker> workers = new ArrayList<>();
+    private final List<ModelAgent> agents = new ArrayList<>();
+    private final List<JobKind> kinds;
+    private final double[] multiples;
+    private final Random random;
+    private double cancelShare;
+    private double poisonShare;
+    private long number;
+
+    private LoadRun(LoadPattern pattern, PlacementRule rule, long seed) {
+        this.pattern = pattern;
+        this.random = new Random(seed);
+        double coreSpeed = addWorkers(seed);
+        for (int index = 0; index < pattern.entries(); index++) {
+            network.addEntry(NodeName.of("entry-" + index), rule);
+        }
+        this.kinds = kinds(coreSpeed * pattern.load());
+        this.multiples = new double[] {1, 1, 1};
+    }
+
+    /** Plays a pattern to its end. */
+    static LoadReport play(LoadPattern pattern, PlacementRule rule, long seed) {
+        return new LoadRun(pattern, rule, seed).run();
+    }
+
+    /** Multiplies the arrivals of every kind. */
+    void multiply(double factor) {
+        for (int kind = 0; kind < multiples.length; kind++) {
+            multiples[kind] = factor;
+        }
+    }
+
+    /** Multiplies the arrivals of all kinds, and those of the kind with the longest tasks by another factor. */
+    void multiply(double factor, double longFactor) {
+        multiply(factor);
+        multiples[1] = longFactor;
+    }
+
+    /** Changes the first workers, up to a share of all. */
+    void onWorkers(double share, Consumer<ModelWorker> change) {
+        workers.stream().limit(Math.max(1, Math.round(share * WORKERS))).forEach(change);
+    }
+
+    /** Loses all workers of the first zone without a word. */
+    void loseZone() {
+        AvailabilityZone zone = workers.get(0).zone();
+        agents.stream().filter(agent -> agent.worker().zone().equals(zone)).forEach(ModelAgent::lose);
+    }
+
+    /** Lets a share of the callers cancel soon after they came. */
+    void cancelShare(double share) {
+        cancelShare = share;
+    }
+
+    /** Lets a share of the jobs run twenty times as long as estimated. */
+    void poisonShare(double share) {
+        poisonShare = share;
+    }
+
+    private double addWorkers(long seed) {
+        double coreSpeed = 0;
+        for (int index = 0; index < WORKERS; index++) {
+            double speed = index % SLOW_EVERY == 0 ? SLOW_SPEED : USUAL_SPEED;
+            Resources capacity = index % LARGE_EVERY == LARGE_EVERY - 1 ? LARGE : USUAL;
+            ModelWorker worker = new ModelWorker(
+                    String.format("worker-%02d", index),
+                    AvailabilityZone.of("zone-" + index % ZONES),
+                    capacity,
+                    speed,
+                    time,
+                    new Random(seed + index));
+            workers.add(worker);
+            ModelAgent agent = new ModelAgent(time, worker, network, this::workMillis);
+            agents.add(agent);
+            network.addAgent(agent);
+            coreSpeed += capacity.processorMillis() / 1000.0 * speed;
+        }
+        return coreSpeed;
+    }
+
+    /** Mixes the three kinds of the users' sheets so that they ask for a number of cores at speed 1. */
+    private static List<JobKind> kinds(double cores) {
+        List<JobKind> mix = List.of(
+                new JobKind("short", 24.1, 8, Duration.ofMillis(86), 3100, 0, 0.0291),
+                new JobKind("long", 4.37, 4, Duration.ofMillis(1286), 3100, 2, 0.16),
+                new JobKind("middle", 70, 2, Duration.ofMillis(286), 3100, 1, 0.01));
+        double asked = mix.stream()
+                .mapToDouble(
+                        kind -> kind.perSecond() * kind.width() * kind.work().toMillis() * kind.processorMillis() / 1e6)
+                .sum();
+        return mix.stream()
+                .map(kind -> new JobKind(
+                        kind.name(),
+                        kind.perSecond() * cores / asked,
+                        kind.width(),
+                        kind.work(),
+                        kind.processorMillis(),
+                        kind.priority(),
+                        kind.worth()))
+                .toList();
+    }
+
+    private LoadReport run() {
+        for (int kind = 0; kind < kinds.size(); kind++) {
+            arriveLater(kind);
+        }
+        pattern.events()
+                .forEach(event ->
+                        time.after(LEAD.plus(event.at()), () -> event.change().accept(this)));
+        time.runUntil(LEAD.plus(LoadPattern.LENGTH).plus(TAIL));
+        report.close(workers.stream().mapToDouble(ModelWorker::busyCoreSeconds).sum(), network.messages());
+        return report;
+    }
+
+    private void arriveLater(int kind) {
+        double pause = -Math.log(1 - random.nextDouble()) / (kinds.get(kind).perSecond() * multiples[kind]);
+        Duration next = Duration.ofNanos((long) (pause * 1e9));
+        boolean first = time.nowNanos() == 0;
+        time.after(first ? LEAD.plus(next) : next, () -> {
+            if (time.nowNanos() < LEAD.plus(LoadPattern.LENGTH).toNanos()) {
+                arrive(kinds.get(kind));
+                arriveLater(kind);
+            }
+        });
+    }
+
+    private void arrive(JobKind kind) {
+        Drawn job = kind.draw(number++, pattern.estimateError(), random);
+        boolean poisoned = random.nextDouble() < poisonShare;
+        boolean cancels = random.nextDouble() < cancelShare;
+        NodeName entry = chooseEntry();
+        if (poisoned) {
+            for (int index = 0; index < job.workMillis().length; index++) {
+                job.workMillis()[index] *= 20;
+            }
+        }
+        drawn.put(job.job().id(), job);
+        long arrivedNanos = time.nowNanos();
+        double objective = JobKind.STRETCH * job.longestMillis() + JobKind.ALLOWANCE.toMillis();
+        double arrivedSeconds = (arrivedNanos - LEAD.toNanos()) / 1e9;
+        network.submit(entry, job.job(), Duration.ofMillis((long) (PATIENCE * objective)), answer -> {
+            double tookMillis = (time.nowNanos() - arrivedNanos) / 1e6;
+            if (!poisoned) {
+                report.job(job, arrivedSeconds, fate(answer, tookMillis, objective));
+            }
+        });
+        if (cancels) {
+            time.after(CANCEL_AFTER, () -> network.cancel(entry, job.job().id()));
+        }
+    }
+
+    private static Fate fate(JobAnswer answer, double tookMillis, double objective) {
+        if (answer.cancelled()) {
+            return Fate.CANCELLED;
+        }
+        if (answer.verdict() == Verdict.NOT_RUN) {
+            return Fate.REFUSED;
+        }
+        if (answer.verdict() != Verdict.COMPLETED) {
+            return Fate.FAILED;
+        }
+        if (tookMillis <= objective) {
+            return Fate.IN_TIME;
+        }
+        return tookMillis <= LoadReport.USELESS_AFTER * objective ? Fate.LATE : Fate.USELESS;
+    }
+
+    private NodeName chooseEntry() {
+        boolean first = random.nextDouble() < pattern.firstEntryShare();
+        int others = pattern.entries() - 1;
+        return NodeName.of("entry-" + (first || others == 0 ? 0 : 1 + random.nextInt(others)));
+    }
+
+    private double workMillis(TaskName task) {
+        return drawn.get(task.job()).workMillis()[task.index()];
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/bench/load/ModelAgent.java
@@ -0,0 +1,151 @@
+package org.gypsumflow.bench.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.gypsumflow.command.AgentDesk;
+import org.gypsumflow.command.AgentDesk.Actions;
+import org.gypsumflow.command.AgentDesk.OwnedEnd;
+import org.gypsumflow.command.AgentDesk.Run;
+import org.gypsumflow.command.DispatchLimits;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.WorkerRoom;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.WorkerReport;
+
+/** The real decisions of an agent beside a model of a worker. */
+final class ModelAgent {
+    /** Time of a call to the worker on the same host. */
+    private static final Duration WORKER_CALL = Duration.ofMillis(1);
+
+    /** The worker's only life in the model. */
+    private static final long BORN = 1;
+
+    private final VirtualTime time;
+    private final ModelWorker worker;
+    private final ModelNetwork network;
+    private final Function<TaskName, Double> workMillis;
+    private final AgentDesk desk = AgentDesk.create();
+    private final NodeName node;
+    private final Map<TaskName, Order> orders = new HashMap<>();
+    private final Map<NodeName, WorkerRoom> told = new HashMap<>();
+    private long sequence;
+
+    ModelAgent(VirtualTime time, ModelWorker worker, ModelNetwork network, Function<TaskName, Double> workMillis) {
+        this.time = time;
+        this.worker = worker;
+        this.network = network;
+        this.workMillis = workMillis;
+        this.node = NodeName.of(worker.name());
+        worker.onEnd(this::ended);
+        reportWorker(false);
+        time.every(DispatchLimits.REPORT, this::tick);
+    }
+
+    NodeName node() {
+        return node;
+    }
+
+    ModelWorker worker() {
+        return worker;
+    }
+
+    /** Takes the worker away without a word; its entries learn it when the bound on silence has passed. */
+    void lose() {
+        worker.crash();
+        network.lose(this);
+    }
+
+    /** Tells the agent that its worker is about to leave. */
+    void drain() {
+        reportWorker(true);
+        act();
+    }
+
+    void order(NodeName owner, List<Order> given) {
+        for (Order order : given) {
+            orders.put(order.task(), order);
+            desk.order(owner, order, time.nowNanos());
+        }
+        act();
+    }
+
+    void stop(NodeName owner, JobId job, List<Integer> indexes) {
+        desk.stop(owner, job, indexes, time.nowNanos());
+        act();
+    }
+
+    private void reportWorker(boolean draining) {
+        desk.workerReported(
+                new WorkerReport(
+                        worker.name(),
+                        BORN,
+                        JobKind.SERVICE,
+                        worker.zone(),
+                        worker.capacity(),
+                        "rack",
+                        draining,
+                        sequence++),
+                time.nowNanos());
+    }
+
+    private void tick() {
+        desk.tick(time.nowNanos());
+        act();
+        for (NodeName owner : network.entries()) {
+            WorkerRoom room = desk.roomFor(owner, time.nowNanos());
+            if (!room.equals(told.get(owner))) {
+                tell(owner, List.of(), room);
+            }
+        }
+    }
+
+    private void ended(TaskName task, TaskEnding ending) {
+        time.after(WORKER_CALL, () -> {
+            Order order = orders.get(task);
+            if (order != null) {
+                desk.ended(task, order.run(), ending, time.nowNanos());
+                act();
+            }
+        });
+    }
+
+    private void act() {
+        Map<NodeName, List<Ended>> ends = new HashMap<>();
+        Actions actions = desk.drainActions();
+        while (!actions.isEmpty()) {
+            for (OwnedEnd end : actions.ended()) {
+                ends.computeIfAbsent(end.owner(), owner -> new ArrayList<>()).add(end.ended());
+            }
+            actions.stop().forEach(this::stopAtWorker);
+            actions.start().forEach(this::startAtWorker);
+            actions = desk.drainActions();
+        }
+        ends.forEach((owner, ended) -> tell(owner, ended, desk.roomFor(owner, time.nowNanos())));
+    }
+
+    private void startAtWorker(Run run) {
+        Order order = orders.get(run.task());
+        time.after(WORKER_CALL, () -> {
+            worker.start(run.task(), workMillis.apply(run.task()), order.needs());
+            time.after(WORKER_CALL, () -> desk.started(run.task(), run.run(), time.nowNanos()));
+        });
+    }
+
+    private void stopAtWorker(Run run) {
+        time.after(WORKER_CALL, () -> worker.stop(run.task()));
+    }
+
+    private void tell(NodeName owner, List<Ended> ended, WorkerRoom room) {
+        told.put(owner, room);
+        network.report(node, owner, new AgentReport(ended, room));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gypsumflow/bench/load/ModelWorker.java
@@ -0,0 +1,114 @@
+package org.gypsumflow.bench.load;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+
+/** A worker that runs tasks at a speed of its own and can be made slow, failing or hanging. */
+final class ModelWorker {
+    /** Time in which a worker that fails everything ends a task. */
+    private static final Duration FAILS_AFTER = Duration.ofMillis(2);
+
+    private static final class Run {
+        private final long startedNanos;
+        private final int processorMillis;
+
+        private Run(long startedNanos, int processorMillis) {
+            this.startedNanos = startedNanos;
+            this.processorMillis = processorMillis;
+        }
+    }
+
+    private final String name;
+    private final AvailabilityZone zone;
+    private final Resources capacity;
+    private final double speed;
+    private final VirtualTime time;
+    private final Random random;
+    private final Map<TaskName, Run> running = new HashMap<>();
+    private BiConsumer<TaskName, TaskEnding> ends = (task, ending) -> {};
+    private double slowdown = 1;
+    private double failing;
+    private boolean hanging;
+    private double busyCoreSeconds;
+
+    ModelWorker(String name, AvailabilityZone zone, Resources capacity, double speed, VirtualTime time, Random random) {
+        this.name = name;
+        this.zone = zone;
+        this.capacity = capacity;
+        this.speed = speed;
+        this.time = time;
+        this.random = random;
+    }
+
+    String name() {
+        return name;
+    }
+
+    AvailabilityZone zone() {
+        return zone;
+    }
+
+    Resources capacity() {
+        return capacity;
+    }
+
+    void onEnd(BiConsumer<TaskName, TaskEnding> listener) {
+        this.ends = listener;
+    }
+
+    /** Makes tasks that start from now on run slower. */
+    void slowDown(double factor) {
+        slowdown = factor;
+    }
+
+    /** Makes a share of the tasks that start from now on fail at once. */
+    void fail(double share) {
+        failing = share;
+    }
+
+    /** Makes tasks that start from now on never end. */
+    void hang(boolean hangs) {
+        hanging = hangs;
+    }
+
+    /** Ends all that runs, as a crash does. */
+    void crash() {
+        running.clear();
+    }
+
+    double busyCoreSeconds() {
+        return busyCoreSeconds;
+    }
+
+    void start(TaskName task, double workMillis, Resources needs) {
+        Run run = new Run(time.nowNanos(), needs.processorMillis());
+        running.put(task, run);
+        if (random.nextDouble() < failing) {
+            time.after(FAILS_AFTER, () -> end(task, run, TaskEnding.FAILED));
+        } else if (!hanging) {
+            Duration takes = Duration.ofNanos((long) (workMillis * slowdown / speed * 1e6));
+            time.after(takes, () -> end(task, run, TaskEnding.DONE));
+        }
+    }
+
+    void stop(TaskName task) {
+        Run run = running.get(task);
+        if (run != null) {
+            end(task, run, TaskEnding.LOST);
+        }
+    }
+
+    private void end(TaskName task, Run run, TaskEnding ending) {
+        if (running.remove(task, run)) {
+            busyCoreSeconds += (time.nowNanos() - run.startedNanos) / 1e9 * run.processorMillis / 1000.0;
+            ends.accept(task, ending);
+        }
+    }
+}
