--- a/src/main/java/org/gypsumflow/bench/load/Baselines.java
+++ b/src/main/java/org/gypsumflow/bench/load/Baselines.java
@@ -50,7 +50,8 @@
                     .max(Comparator.comparingInt(candidate -> candidate.free().processorMillis()))
                     .orElseThrow();
             left.remove(most);
-            left.add(new Candidate(most.agent(), most.room(), most.free().minus(wanted.needs())));
+            left.add(new Candidate(
+                    most.agent(), most.room(), most.free().minus(wanted.needs()), most.idle(), most.slowness()));
             chosen.add(new Choice(most.agent(), true));
         }
         return chosen;
--- a/src/main/java/org/gypsumflow/bench/load/JobKind.java
+++ b/src/main/java/org/gypsumflow/bench/load/JobKind.java
@@ -84,6 +84,7 @@
         BestEffortJob job = new BestEffortJob(
                 JobId.of(String.format("%016x", number)),
                 route,
+                1,
                 "",
                 count,
                 Resources.of(processorMillis, MEMORY_MEGABYTES, 0),
--- a/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
@@ -15,10 +15,17 @@
  * @param entries number of entries
  * @param firstEntryShare share of the jobs that come to the first entry
  * @param estimateError estimates are off by up to this share
+ * @param fleet how slow the workers are
  * @param events what happens during the pattern
  */
 record LoadPattern(
-        String name, double load, int entries, double firstEntryShare, double estimateError, List<LoadEvent> events) {
+        String name,
+        double load,
+        int entries,
+        double firstEntryShare,
+        double estimateError,
+        Fleet fleet,
+        List<LoadEvent> events) {
     /** How long jobs arrive. */
     static final Duration LENGTH = Duration.ofSeconds(30);
 
@@ -35,12 +42,32 @@
      */
     record LoadEvent(Duration at, Consumer<LoadRun> change) {}
 
+    /** How much slower than nominal the workers of a deployment are, in turn; as the users' two deployments differ. */
+    enum Fleet {
+        ONE_FAST_IN_FOUR(List.of(0.55, 1.2, 1.2, 1.2)),
+        THREE_SPEEDS(List.of(0.6, 1.0, 1.6));
+
+        // The linter knows Guava's lists to be immutable, not those of the JDK.
+        @SuppressWarnings("ImmutableEnumChecker")
+        private final List<Double> slowness;
+
+        Fleet(List<Double> slowness) {
+            this.slowness = slowness;
+        }
+
+        double slowness(int worker) {
+            return slowness.get(worker % slowness.size());
+        }
+    }
+
     /** Lists all patterns by name. */
     static Map<String, LoadPattern> all() {
         Map<String, LoadPattern> patterns = new LinkedHashMap<>();
         for (LoadPattern pattern : List.of(
                 plain("steady-65", 0.65),
                 plain("steady-85", 0.85),
+                plain("three-speeds-65", 0.65).withFleet(Fleet.THREE_SPEEDS),
+                plain("three-speeds-85", 0.85).withFleet(Fleet.THREE_SPEEDS),
                 during("burst-of-all", 0.75, run -> run.multiply(1.6), run -> run.multiply(1)),
                 during("burst-of-long-jobs", 0.75, run -> run.multiply(1, 2.2), run -> run.multiply(1, 1)),
                 at("zone-lost", 0.7, LoadRun::loseZone),
@@ -77,7 +104,7 @@
     }
 
     private static LoadPattern plain(String name, double load) {
-        return new LoadPattern(name, load, ENTRIES, 1.0 / ENTRIES, ESTIMATE_ERROR, List.of());
+        return new LoadPattern(name, load, ENTRIES, 1.0 / ENTRIES, ESTIMATE_ERROR, Fleet.ONE_FAST_IN_FOUR, List.of());
     }
 
     private static LoadPattern at(String name, double load, Consumer<LoadRun> change) {
@@ -91,18 +118,22 @@
     private LoadPattern with(LoadEvent event) {
         List<LoadEvent> more = new ArrayList<>(events);
         more.add(event);
-        return new LoadPattern(name, load, entries, firstEntryShare, estimateError, List.copyOf(more));
+        return new LoadPattern(name, load, entries, firstEntryShare, estimateError, fleet, List.copyOf(more));
     }
 
     private LoadPattern withEstimateError(double error) {
-        return new LoadPattern(name, load, entries, firstEntryShare, error, events);
+        return new LoadPattern(name, load, entries, firstEntryShare, error, fleet, events);
     }
 
     private LoadPattern withFirstEntryShare(double share) {
-        return new LoadPattern(name, load, entries, share, estimateError, events);
+        return new LoadPattern(name, load, entries, share, estimateError, fleet, events);
     }
 
     private LoadPattern withEntries(int number) {
-        return new LoadPattern(name, load, number, 1.0 / number, estimateError, events);
+        return new LoadPattern(name, load, number, 1.0 / number, estimateError, fleet, events);
+    }
+
+    private LoadPattern withFleet(Fleet other) {
+        return new LoadPattern(name, load, entries, firstEntryShare, estimateError, other, events);
     }
 }
--- a/src/main/java/org/gypsumflow/bench/load/LoadRun.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadRun.java
@@ -20,14 +20,10 @@
 
 /** One play of a pattern under one rule; the same seed gives the same jobs whatever the rule. */
 final class LoadRun {
-    /** Workers of the model: the number, sizes and speeds of the users' deployments of today. */
+    /** Workers of the model: the number and sizes of the users' deployments of today. */
     private static final int WORKERS = 11;
 
     private static final int ZONES = 4;
-    private static final double SLOW_SPEED = 0.55;
-    private static final double USUAL_SPEED = 1.2;
-    /** Every so many workers one is slow. */
-    private static final int SLOW_EVERY = 4;
     /** Every so many workers one is larger. */
     private static final int LARGE_EVERY = 3;
 
@@ -109,20 +105,20 @@
     private double addWorkers(long seed) {
         double coreSpeed = 0;
         for (int index = 0; index < WORKERS; index++) {
-            double speed = index % SLOW_EVERY == 0 ? SLOW_SPEED : USUAL_SPEED;
+            double slowness = pattern.fleet().slowness(index);
             Resources capacity = index % LARGE_EVERY == LARGE_EVERY - 1 ? LARGE : USUAL;
             ModelWorker worker = new ModelWorker(
                     String.format("worker-%02d", index),
-                    AvailabilityZone.of("zone-" + index % ZONES),
+                    AvailabilityZone.of("zone-" + index * ZONES / WORKERS),
                     capacity,
-                    speed,
+                    slowness,
                     time,
                     new Random(seed + index));
             workers.add(worker);
             ModelAgent agent = new ModelAgent(time, worker, network, this::workMillis);
             agents.add(agent);
             network.addAgent(agent);
-            coreSpeed += capacity.processorMillis() / 1000.0 * speed;
+            coreSpeed += capacity.processorMillis() / 1000.0 / slowness;
         }
         return coreSpeed;
     }
--- a/src/main/java/org/gypsumflow/bench/load/ModelWorker.java
+++ b/src/main/java/org/gypsumflow/bench/load/ModelWorker.java
@@ -10,7 +10,7 @@
 import org.gypsumflow.model.TaskEnding;
 import org.gypsumflow.model.TaskName;
 
-/** A worker that runs tasks at a speed of its own and can be made slow, failing or hanging. */
+/** A worker that takes a multiple of the nominal time for tasks and can be made slow, failing or hanging. */
 final class ModelWorker {
     /** Time in which a worker that fails everything ends a task. */
     private static final Duration FAILS_AFTER = Duration.ofMillis(2);
@@ -28,7 +28,7 @@
     private final String name;
     private final AvailabilityZone zone;
     private final Resources capacity;
-    private final double speed;
+    private final double slowness;
     private final VirtualTime time;
     private final Random random;
     private final Map<TaskName, Run> running = new HashMap<>();
@@ -38,11 +38,12 @@
     private boolean hanging;
     private double busyCoreSeconds;
 
-    ModelWorker(String name, AvailabilityZone zone, Resources capacity, double speed, VirtualTime time, Random random) {
+    ModelWorker(
+            String name, AvailabilityZone zone, Resources capacity, double slowness, VirtualTime time, Random random) {
         this.name = name;
         this.zone = zone;
         this.capacity = capacity;
-        this.speed = speed;
+        this.slowness = slowness;
         this.time = time;
         this.random = random;
     }
@@ -93,7 +94,7 @@
         if (random.nextDouble() < failing) {
             time.after(FAILS_AFTER, () -> end(task, run, TaskEnding.FAILED));
         } else if (!hanging) {
-            Duration takes = Duration.ofNanos((long) (workMillis * slowdown / speed * 1e6));
+            Duration takes = Duration.ofNanos((long) (workMillis * slowdown * slowness * 1e6));
             time.after(takes, () -> end(task, run, TaskEnding.DONE));
         }
     }
--- a/src/main/java/org/gypsumflow/command/AgentDesk.java
+++ b/src/main/java/org/gypsumflow/command/AgentDesk.java
@@ -63,6 +63,14 @@
             return arrivedNanos + order.urgency().toNanos();
         }
 
+        private Duration slack(long nowNanos) {
+            return Duration.ofNanos(urgencyNanos() - nowNanos);
+        }
+
+        private Duration waited() {
+            return stage == Stage.WAITING ? Duration.ZERO : Duration.ofNanos(startedNanos - arrivedNanos);
+        }
+
         private boolean occupiesWorker() {
             return stage != Stage.WAITING;
         }
@@ -110,8 +118,10 @@
      *
      * @param owner the entry
      * @param ended the end
+     * @param estimate how long the task was thought to run
+     * @param waited how long it waited here for room before it started, zero if it did not start
      */
-    public record OwnedEnd(NodeName owner, Ended ended) {}
+    public record OwnedEnd(NodeName owner, Ended ended, Duration estimate, Duration waited) {}
 
     private final Map<TaskName, Entry> entries = new HashMap<>();
     private final RunStatistics statistics = RunStatistics.create();
@@ -238,13 +248,12 @@
     public void order(NodeName owner, Order order, long nowNanos) {
         Entry known = entries.get(order.task());
         boolean possible = known == null && isOpen() && worker.capacity().holds(order.needs());
-        boolean roomNow =
-                possible && worker.capacity().minus(needs(entry -> true)).holds(order.needs());
-        if (!possible || (!order.mayWait() && !roomNow)) {
-            report(owner, order, TaskEnding.NOT_STARTED, Duration.ZERO);
+        Entry arrived = new Entry(owner, order, nowNanos);
+        if (!possible || (!order.mayWait() && !hasRoomNow(arrived, nowNanos))) {
+            report(arrived, TaskEnding.NOT_STARTED, Duration.ZERO);
             return;
         }
-        entries.put(order.task(), new Entry(owner, order, nowNanos));
+        entries.put(order.task(), arrived);
         startWhatFits(nowNanos);
     }
 
@@ -507,13 +516,22 @@
                 worker == null ? "" : worker.zone().value(),
                 capacity,
                 capacity.minus(needs(entry -> true)),
+                capacity.minus(needs(entry -> entry.occupiesWorker() || Headroom.isUrgent(entry.slack(nowNanos)))),
                 needs(entry -> entry.owner.equals(owner)),
                 statistics.meanRun(),
-                Math.max(statistics.slowness(), slownessOfOverdue(nowNanos)),
+                statistics.slowness(),
+                slownessOfOverdue(nowNanos),
                 statistics.failing(nowNanos),
                 atWorker());
     }
 
+    /** Tells whether an order would start at once: waiting ones that are more urgent go first, others are overtaken. */
+    private boolean hasRoomNow(Entry arrived, long nowNanos) {
+        Resources ahead = needs(entry -> entry.occupiesWorker() || entry.urgencyNanos() <= arrived.urgencyNanos());
+        Resources room = worker.capacity().minus(ahead);
+        return Headroom.usable(room, worker.capacity(), arrived.slack(nowNanos)).holds(arrived.order.needs());
+    }
+
     private void startWhatFits(long nowNanos) {
         if (!isOpen()) {
             return;
@@ -524,7 +542,7 @@
                 .sorted(Comparator.comparingLong(Entry::urgencyNanos))
                 .toList();
         for (Entry entry : waiting) {
-            if (!free.holds(entry.order.needs())) {
+            if (!Headroom.usable(free, worker.capacity(), entry.slack(nowNanos)).holds(entry.order.needs())) {
                 return;
             }
             free = free.minus(entry.order.needs());
@@ -537,7 +555,7 @@
     private void stop(Entry entry) {
         if (entry.stage == Stage.WAITING) {
             entries.remove(entry.order.task());
-            report(entry.owner, entry.order, TaskEnding.NOT_STARTED, Duration.ZERO);
+            report(entry, TaskEnding.NOT_STARTED, Duration.ZERO);
         } else if (entry.stage != Stage.STOPPING) {
             entry.stage = Stage.STOPPING;
             entry.confirmed = false;
@@ -548,7 +566,7 @@
     private void end(Entry entry, TaskEnding ending, long nowNanos) {
         entries.remove(entry.order.task());
         Duration ran = Duration.ofNanos(nowNanos - entry.startedNanos);
-        report(entry.owner, entry.order, ending, ran);
+        report(entry, ending, ran);
         startWhatFits(nowNanos);
     }
 
@@ -557,7 +575,7 @@
             if (entry.occupiesWorker()) {
                 entries.remove(entry.order.task());
                 Duration ran = Duration.ofNanos(nowNanos - entry.startedNanos);
-                report(entry.owner, entry.order, TaskEnding.LOST, ran);
+                report(entry, TaskEnding.LOST, ran);
             }
         }
     }
@@ -571,8 +589,10 @@
         startWhatFits(nowNanos);
     }
 
-    private void report(NodeName owner, Order order, TaskEnding ending, Duration ran) {
-        actions.ended().add(new OwnedEnd(owner, new Ended(order.task(), order.run(), ending, ran)));
+    private void report(Entry entry, TaskEnding ending, Duration ran) {
+        Order order = entry.order;
+        Ended ended = new Ended(order.task(), order.run(), ending, ran);
+        actions.ended().add(new OwnedEnd(entry.owner, ended, order.estimate(), entry.waited()));
     }
 
     private Entry at(TaskName task, RunNumber run) {
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +14,7 @@
 import org.gypsumflow.command.PlacementRule.Choice;
 import org.gypsumflow.command.PlacementRule.Wanted;
 import org.gypsumflow.command.WorkerBoard.Candidate;
+import org.gypsumflow.command.WorkerSpeeds.Sample;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.DispatchMessage.AgentReport;
 import org.gypsumflow.model.DispatchMessage.Ended;
@@ -30,7 +33,16 @@
     /** Time between the answer at the entry and the caller's receipt, which the deadline must cover. */
     private static final Duration ANSWER_TRAVEL = Duration.ofMillis(30);
 
+    /** Time between two tries to place jobs that found no room; ends of tasks leave room more often than this. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
+    /** Share of its slack that a job keeps when it stops waiting for room; the estimate behind it may be off by 40 %. */
+    private static final double SLACK_KEPT = 0.5;
+    /** Most jobs that look for room again at each try; the rest would not end in time behind them. */
+    private static final int MOST_TRIES = 40;
+
     private final Map<JobId, JobRun> jobs = new HashMap<>();
+    private final Map<JobId, JobRun> withoutRoom = new LinkedHashMap<>();
+    private long triedNanos;
     private final WorkerBoard board;
     private final PlacementRule rule;
     private final JobPorts ports;
@@ -139,10 +151,11 @@
     public void report(NodeName agent, AgentReport report, long nowNanos) {
         Collection<JobRun> touched = new ArrayList<>();
         for (Ended ended : report.ended()) {
-            take(agent, ended).ifPresent(touched::add);
+            take(agent, ended, nowNanos).ifPresent(touched::add);
         }
         board.report(agent, report.room());
         touched.stream().distinct().forEach(run -> place(run, nowNanos));
+        tryAgain(nowNanos);
     }
 
     /**
@@ -166,6 +179,7 @@
      * @param nowNanos monotonic clock
      */
     public void tick(long nowNanos) {
+        tryAgain(nowNanos);
         for (JobRun run : List.copyOf(jobs.values())) {
             if (nowNanos - run.deadlineNanos() >= 0) {
                 giveUp(run, "the caller's deadline has passed");
@@ -184,7 +198,7 @@
         List.copyOf(jobs.values()).forEach(run -> giveUp(run, reason));
     }
 
-    private Optional<JobRun> take(NodeName agent, Ended ended) {
+    private Optional<JobRun> take(NodeName agent, Ended ended, long nowNanos) {
         JobRun run = jobs.get(ended.task().job());
         int index = ended.task().index();
         if (run == null || !run.agentOf(index, ended.run()).equals(Optional.of(agent))) {
@@ -192,17 +206,36 @@
         }
         board.settled(agent, run.job().task());
         switch (ended.ending()) {
-            case DONE -> run.done(index);
+            case DONE -> run.done(index, ended.ran());
             case FAILED -> fail(run, index);
             case LOST -> run.lost(index);
             case NOT_STARTED -> run.notStarted(index);
         }
         if (run.isComplete()) {
+            board.learn(run.runs(), run.job().estimate(), nowNanos);
+            logDone(run, nowNanos);
             finish(run, JobAnswer.completed());
         }
         return Optional.of(run);
     }
 
+    private void logDone(JobRun run, long nowNanos) {
+        List<Sample> runs = run.runs();
+        Sample slowest = runs.stream().max(Comparator.comparing(Sample::ran)).orElseThrow();
+        events.write(
+                Event.JOB_DONE,
+                run.job().id(),
+                run.job().route().name(),
+                run.job().routesVersion(),
+                run.age(nowNanos).toMillis(),
+                runs.size(),
+                run.job().estimate().toMillis(),
+                run.orders(),
+                runs.stream().map(Sample::agent).distinct().count(),
+                slowest.ran().toMillis(),
+                slowest.agent());
+    }
+
     private void fail(JobRun run, int index) {
         if (run.failed(index) >= run.job().route().attempts()) {
             finish(run, JobAnswer.failed("task " + index + " failed as often as its route allows"));
@@ -218,7 +251,12 @@
             return;
         }
         BestEffortJob job = run.job();
-        Collection<Candidate> candidates = board.candidates(job.route().service());
+        boolean mayWait = mayWaitForRoom(run, nowNanos);
+        if (mayWait && isBehindOthers(run)) {
+            withoutRoom.putIfAbsent(job.id(), run);
+            return;
+        }
+        Collection<Candidate> candidates = board.candidates(job.route().service(), nowNanos);
         Duration latest = run.uselessIn(nowNanos);
         Wanted wanted = new Wanted(
                 waiting.size(),
@@ -226,21 +264,52 @@
                 job.estimate(),
                 job.route().stretch(),
                 run.allowanceLeft(nowNanos),
+                run.slack(nowNanos),
                 latest,
                 run.mayHaveRun());
         List<Choice> chosen = rule.choose(wanted, candidates);
-        if (chosen.isEmpty()) {
+        if (!chosen.isEmpty()) {
+            withoutRoom.remove(job.id());
+            order(run, waiting, chosen, nowNanos);
+        } else if (mayWait) {
+            withoutRoom.putIfAbsent(job.id(), run);
+        } else {
             giveUp(run, candidates.isEmpty() ? "no worker is in touch" : "no worker can end the job in time");
+        }
+    }
+
+    /** A job of which nothing has started waits for room while enough of its slack is left to start and end in time. */
+    private static boolean mayWaitForRoom(JobRun run, long nowNanos) {
+        double slackAtFirst = run.slack(nowNanos).plus(run.age(nowNanos)).toNanos();
+        return !run.mayHaveRun() && run.slack(nowNanos).toNanos() > SLACK_KEPT * slackAtFirst;
+    }
+
+    /** Room goes to the job that comes first by the operator's priorities, not to the one that happens to need less. */
+    private boolean isBehindOthers(JobRun run) {
+        int priority = run.job().route().priority();
+        return withoutRoom.values().stream()
+                .anyMatch(other -> other.job().route().priority() < priority);
+    }
+
+    private void tryAgain(long nowNanos) {
+        if (withoutRoom.isEmpty() || nowNanos - triedNanos < RETRY_PAUSE.toNanos()) {
             return;
         }
-        order(run, waiting, chosen, nowNanos);
+        triedNanos = nowNanos;
+        List<JobRun> tries = new ArrayList<>(withoutRoom.values());
+        tries.sort(Comparator.<JobRun>comparingInt(run -> run.job().route().priority())
+                .thenComparing(run -> run.slack(nowNanos)));
+        for (int next = 0; next < tries.size(); next++) {
+            JobRun run = tries.get(next);
+            if (next < MOST_TRIES || !mayWaitForRoom(run, nowNanos)) {
+                place(run, nowNanos);
+            }
+        }
     }
 
     private void order(JobRun run, List<Integer> waiting, List<Choice> chosen, long nowNanos) {
         BestEffortJob job = run.job();
         Duration startWithin = run.uselessIn(nowNanos).minus(job.estimate());
-        Duration urgency = run.allowanceLeft(nowNanos)
-                .plusNanos((long) (job.estimate().toNanos() * (job.route().stretch() - 1)));
         Map<NodeName, List<Order>> orders = new TreeMap<>();
         for (int place = 0; place < chosen.size(); place++) {
             int index = waiting.get(place);
@@ -255,7 +324,7 @@
                             job.task(),
                             job.estimate(),
                             startWithin.isNegative() ? Duration.ZERO : startWithin,
-                            urgency,
+                            run.slack(nowNanos),
                             chosen.get(place).mayWait()));
         }
         orders.forEach(ports.starter()::start);
@@ -281,6 +350,7 @@
         if (!jobs.remove(run.job().id(), run)) {
             return;
         }
+        withoutRoom.remove(run.job().id());
         run.placed().forEach((agent, indexes) -> {
             run.orderedAt(agent).forEach(index -> board.settled(agent, run.job().task()));
             ports.stopper().stop(agent, run.job().id(), indexes);
--- a/src/main/java/org/gypsumflow/command/JobRun.java
+++ b/src/main/java/org/gypsumflow/command/JobRun.java
@@ -32,6 +32,7 @@
         private RunNumber run = RunNumber.FIRST;
         private NodeName agent;
         private int failures;
+        private Duration ran;
         private long unknownUntilNanos;
     }
 
@@ -42,6 +43,7 @@
     private final List<Consumer<JobAnswer>> askers = new ArrayList<>();
     private int done;
     private boolean begun;
+    private int orders;
 
     JobRun(BestEffortJob job, long acceptedNanos, long deadlineNanos) {
         this.job = job;
@@ -82,6 +84,12 @@
         return job.route().allowance().minus(age(nowNanos));
     }
 
+    /** Time by which a task should have started to end in time on a worker that takes as long as estimated. */
+    Duration slack(long nowNanos) {
+        double spare = job.estimate().toNanos() * (job.route().stretch() - 1);
+        return allowanceLeft(nowNanos).plusNanos((long) spare);
+    }
+
     /** Time until an answer is worth nothing or nobody waits for it. */
     Duration uselessIn(long nowNanos) {
         double objective = job.estimate().toNanos() * job.route().stretch()
@@ -130,6 +138,7 @@
     void order(int index, NodeName agent) {
         tasks[index].standing = Standing.ORDERED;
         tasks[index].agent = agent;
+        orders++;
     }
 
     /** Tells where a task is ordered under this run, if it is. */
@@ -141,12 +150,29 @@
         return current ? Optional.of(tasks[index].agent) : Optional.empty();
     }
 
-    void done(int index) {
+    void done(int index, Duration ran) {
         tasks[index].standing = Standing.DONE;
+        tasks[index].ran = ran;
         begun = true;
         done++;
     }
 
+    /** Counts the orders given for the tasks, repeated ones included. */
+    int orders() {
+        return orders;
+    }
+
+    /** Tells where the tasks that are done ran, and how long. */
+    List<WorkerSpeeds.Sample> runs() {
+        List<WorkerSpeeds.Sample> runs = new ArrayList<>();
+        for (Task task : tasks) {
+            if (task.standing == Standing.DONE) {
+                runs.add(new WorkerSpeeds.Sample(task.agent, task.ran));
+            }
+        }
+        return runs;
+    }
+
     boolean isComplete() {
         return done == tasks.length;
     }
--- a/src/main/java/org/gypsumflow/command/PlacementRule.java
+++ b/src/main/java/org/gypsumflow/command/PlacementRule.java
@@ -18,6 +18,7 @@
      * @param estimate rough running time of one
      * @param stretch objective as a multiple of the running time
      * @param allowance what the objective allows beyond that, less the time that has passed; may be negative
+     * @param slack time by which a task should have started to end in time, from now; may be negative
      * @param latest time until an answer is worth nothing, from now
      * @param begun true if parts of the job have started, so that a late end is better than none
      */
@@ -27,6 +28,7 @@
             Duration estimate,
             double stretch,
             Duration allowance,
+            Duration slack,
             Duration latest,
             boolean begun) {}
 
--- a/src/main/java/org/gypsumflow/command/SoonestEnd.java
+++ b/src/main/java/org/gypsumflow/command/SoonestEnd.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.gypsumflow.command.PlacementRule.Choice;
@@ -25,10 +24,78 @@
     /** Ends that differ by less count as equal, in milliseconds; estimates are not more exact. */
     private static final double SAME_END_MILLIS = 20;
     /** An expected wait counts this many times, since ends of other tasks come as unevenly as their estimates are off. */
-    private static final double WAIT_CAUTION = 2;
+    private static final double WAIT_CAUTION = 3;
     /** Share of a worker that must be free before it takes a job that will be late: work in time goes first. */
     private static final double IDLE_SHARE = 0.4;
 
+    /** A worker while the tasks of one job are placed. */
+    private static final class Place {
+        private final Candidate candidate;
+        private final Resources needs;
+        private final double runMillis;
+        private final double latestWaitMillis;
+        private Resources usable;
+        private double waitMillis;
+
+        private Place(Wanted wanted, Candidate candidate, double soundSlowness) {
+            this.candidate = candidate;
+            this.needs = wanted.needs();
+            double slowness = candidate.slowness();
+            double estimate = wanted.estimate().toMillis();
+            this.runMillis = estimate * slowness;
+            this.latestWaitMillis = latestWait(wanted, slowness, soundSlowness);
+            Resources room = Headroom.isUrgent(wanted.slack()) ? candidate.idle() : candidate.free();
+            use(Headroom.usable(room, candidate.room().capacity(), wanted.slack()));
+        }
+
+        /**
+         * Estimates may be off as a whole, and the objective counts the time on a sound worker. Both the running time and
+         * the objective move with the error of a single estimate; the worse case decides.
+         */
+        private static double latestWait(Wanted wanted, double slowness, double soundSlowness) {
+            double stretch = wanted.stretch() * soundSlowness;
+            double error = slowness > stretch ? 1 + ESTIMATE_ERROR : 1 - ESTIMATE_ERROR;
+            double estimate = error * wanted.estimate().toMillis();
+            double spare = estimate * (stretch - slowness) + wanted.allowance().toMillis() - OVERHEAD.toMillis();
+            return spare / WAIT_CAUTION;
+        }
+
+        private void take() {
+            use(usable.minus(needs));
+        }
+
+        private void use(Resources room) {
+            usable = room;
+            waitMillis = room.holds(needs) ? 0 : expectedWait();
+        }
+
+        /** Expected time until a full worker has room: its whole capacity becomes free once in a mean running time. */
+        private double expectedWait() {
+            double missing = needs.processorMillis() - usable.processorMillis();
+            double share = missing / Math.max(1, candidate.room().capacity().processorMillis());
+            return Math.max(0, share) * candidate.room().meanRun().toMillis() + 1;
+        }
+
+        private double endMillis() {
+            return OVERHEAD.toMillis() + WAIT_CAUTION * waitMillis + runMillis;
+        }
+
+        private boolean endsInTime() {
+            return waitMillis <= latestWaitMillis;
+        }
+
+        private double freeShare() {
+            return (double) usable.processorMillis()
+                    / Math.max(1, candidate.room().capacity().processorMillis());
+        }
+
+        private boolean endsSoonerThan(Place other) {
+            double difference =
+                    Math.floor(endMillis() / SAME_END_MILLIS) - Math.floor(other.endMillis() / SAME_END_MILLIS);
+            return difference < 0 || (difference == 0 && freeShare() > other.freeShare());
+        }
+    }
+
     private SoonestEnd() {}
 
     /**
@@ -41,79 +108,58 @@
     }
 
     private static List<Choice> choose(Wanted wanted, Collection<Candidate> candidates) {
-        List<Candidate> sound = new ArrayList<>(candidates.stream()
-                .filter(candidate -> candidate.room().failing() < MOST_FAILING)
-                .filter(candidate -> candidate.room().capacity().holds(wanted.needs()))
-                .toList());
-        double soundSlowness = soundSlowness(sound);
+        List<Place> places = places(wanted, candidates);
         List<Choice> chosen = new ArrayList<>();
         for (int task = 0; task < wanted.count(); task++) {
-            Optional<Candidate> best = best(wanted, sound, soundSlowness);
+            Optional<Place> best = best(wanted, places);
             if (best.isEmpty()) {
                 return List.of();
             }
-            chosen.add(new Choice(best.get().agent(), waitMillis(best.get(), wanted.needs()) > 0));
-            sound.set(sound.indexOf(best.get()), best.get().after(wanted.needs()));
+            chosen.add(new Choice(best.get().candidate.agent(), best.get().waitMillis > 0));
+            best.get().take();
         }
         return chosen;
     }
 
-    private static Optional<Candidate> best(Wanted wanted, List<Candidate> sound, double soundSlowness) {
-        Comparator<Candidate> soonest = Comparator.<Candidate>comparingDouble(
-                        candidate -> Math.floor(endMillis(wanted, candidate, 1) / SAME_END_MILLIS))
-                .thenComparing(candidate -> -freeShare(candidate));
-        Optional<Candidate> inTime = sound.stream()
-                .filter(candidate -> endsInTime(wanted, candidate, soundSlowness))
-                .min(soonest);
-        return inTime.isPresent() ? inTime : late(wanted, sound, soonest);
-    }
-
-    private static Optional<Candidate> late(Wanted wanted, List<Candidate> sound, Comparator<Candidate> soonest) {
-        return sound.stream()
-                .filter(candidate -> wanted.begun() || freeShare(candidate) > IDLE_SHARE)
-                .filter(candidate ->
-                        endMillis(wanted, candidate, 1) <= wanted.latest().toMillis())
-                .min(soonest);
+    private static List<Place> places(Wanted wanted, Collection<Candidate> candidates) {
+        List<Candidate> sound = new ArrayList<>();
+        for (Candidate candidate : candidates) {
+            if (candidate.room().failing() < MOST_FAILING
+                    && candidate.room().capacity().holds(wanted.needs())) {
+                sound.add(candidate);
+            }
+        }
+        double soundSlowness = soundSlowness(sound);
+        List<Place> places = new ArrayList<>();
+        sound.forEach(candidate -> places.add(new Place(wanted, candidate, soundSlowness)));
+        return places;
     }
 
-    /**
-     * Estimates may be off as a whole, and the objective counts the time on a sound worker: a worker midway between the
-     * median and the fastest stands for that, so that a fleet of mostly slow workers does not make them look sound. Both the running time and the objective move with the error of a single estimate; the worse case decides.
-     */
-    private static boolean endsInTime(Wanted wanted, Candidate candidate, double soundSlowness) {
-        double stretch = wanted.stretch() * soundSlowness;
-        boolean slowerThanObjective = candidate.room().slowness() > stretch;
-        double error = slowerThanObjective ? 1 + ESTIMATE_ERROR : 1 - ESTIMATE_ERROR;
-        double objective = error * wanted.estimate().toMillis() * stretch
-                + wanted.allowance().toMillis();
-        return endMillis(wanted, candidate, error) <= objective;
+    private static Optional<Place> best(Wanted wanted, List<Place> places) {
+        Place inTime = null;
+        Place late = null;
+        for (Place place : places) {
+            if (place.endsInTime()) {
+                inTime = inTime == null || place.endsSoonerThan(inTime) ? place : inTime;
+            } else if (inTime == null && mayBeLate(wanted, place)) {
+                late = late == null || place.endsSoonerThan(late) ? place : late;
+            }
+        }
+        return Optional.ofNullable(inTime == null ? late : inTime);
     }
 
-    private static double endMillis(Wanted wanted, Candidate candidate, double error) {
-        double running = error * wanted.estimate().toMillis() * candidate.room().slowness();
-        return OVERHEAD.toMillis() + WAIT_CAUTION * waitMillis(candidate, wanted.needs()) + running;
+    private static boolean mayBeLate(Wanted wanted, Place place) {
+        return (wanted.begun() || place.freeShare() > IDLE_SHARE)
+                && place.endMillis() <= wanted.latest().toMillis();
     }
 
+    /**
+     * Objectives count the time on a sound worker. Estimates tell that time if they are right as a whole; where all workers
+     * are faster or most are slower than estimates say, the workers themselves do.
+     */
     private static double soundSlowness(List<Candidate> candidates) {
-        double[] sorted = candidates.stream()
-                .mapToDouble(candidate -> candidate.room().slowness())
-                .sorted()
-                .toArray();
-        return sorted.length == 0 ? 1 : (sorted[0] + sorted[(sorted.length - 1) / 2]) / 2;
-    }
-
-    private static double freeShare(Candidate candidate) {
-        return (double) candidate.free().processorMillis()
-                / Math.max(1, candidate.room().capacity().processorMillis());
-    }
-
-    /** Expected time until a full worker has room: its whole capacity becomes free once in a mean running time. */
-    private static long waitMillis(Candidate candidate, Resources needs) {
-        if (candidate.free().holds(needs)) {
-            return 0;
-        }
-        double missing = needs.processorMillis() - candidate.free().processorMillis();
-        double share = missing / Math.max(1, candidate.room().capacity().processorMillis());
-        return Math.round(Math.max(0, share) * candidate.room().meanRun().toMillis()) + 1;
+        double[] sorted =
+                candidates.stream().mapToDouble(Candidate::slowness).sorted().toArray();
+        return sorted.length == 0 ? 1 : Math.min(Math.max(1, sorted[0]), sorted[(sorted.length - 1) / 2]);
     }
 }
--- a/src/main/java/org/gypsumflow/command/WorkerBoard.java
+++ b/src/main/java/org/gypsumflow/command/WorkerBoard.java
@@ -1,11 +1,12 @@
 package org.gypsumflow.command;
 
-import java.util.Collection;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.DispatchMessage.WorkerRoom;
 import org.gypsumflow.model.NodeName;
@@ -19,13 +20,11 @@
      *
      * @param agent agent beside the worker
      * @param room the last report
-     * @param free what is left once the receiver's own orders have arrived; may be negative
+     * @param free what is left once the receiver's own orders have arrived, waiting tasks included; may be negative
+     * @param idle what is left if tasks that wait are overtaken; may be negative
+     * @param slowness how long it takes for tasks, as a multiple of their estimates
      */
-    public record Candidate(NodeName agent, WorkerRoom room, Resources free) {
-        Candidate after(Resources task) {
-            return new Candidate(agent, room, free.minus(task));
-        }
-    }
+    public record Candidate(NodeName agent, WorkerRoom room, Resources free, Resources idle, double slowness) {}
 
     private static final class Row {
         private WorkerRoom room;
@@ -33,6 +32,7 @@
     }
 
     private final Map<NodeName, Row> rows = new HashMap<>();
+    private final WorkerSpeeds speeds = WorkerSpeeds.create();
     private Set<AvailabilityZone> closed = Set.of();
 
     private WorkerBoard() {}
@@ -63,6 +63,7 @@
      */
     public void remove(NodeName agent) {
         rows.remove(agent);
+        speeds.forget(agent);
     }
 
     /**
@@ -95,23 +96,31 @@
     }
 
     /**
-     * Lists the workers that may get tasks of a service.
+     * Learns from a job whose tasks are done.
      *
-     * @param service the service
-     * @return the workers
+     * @param runs its runs
+     * @param estimate rough running time of one task
+     * @param nowNanos monotonic clock
      */
-    public Collection<Candidate> candidates(ServiceName service) {
-        return open(service).toList();
+    void learn(List<WorkerSpeeds.Sample> runs, Duration estimate, long nowNanos) {
+        speeds.learn(runs, estimate, nowNanos);
     }
 
     /**
-     * Sums up what the workers of a service have.
+     * Lists the workers that may get tasks of a service.
      *
      * @param service the service
-     * @return the whole capacity of workers that may get tasks
+     * @param nowNanos monotonic clock
+     * @return the workers
      */
-    public Resources capacity(ServiceName service) {
-        return open(service).map(candidate -> candidate.room().capacity()).reduce(Resources.NONE, Resources::plus);
+    public List<Candidate> candidates(ServiceName service, long nowNanos) {
+        List<Candidate> open = new ArrayList<>();
+        rows.forEach((agent, row) -> {
+            if (row.room != null && mayTake(row.room, service)) {
+                open.add(candidate(agent, row, nowNanos));
+            }
+        });
+        return open;
     }
 
     /**
@@ -123,20 +132,21 @@
         return rows.size();
     }
 
-    private Stream<Candidate> open(ServiceName service) {
-        return rows.entrySet().stream()
-                .filter(entry -> entry.getValue().room != null && mayTake(entry.getValue().room, service))
-                .map(entry -> candidate(entry.getKey(), entry.getValue()));
-    }
-
     private boolean mayTake(WorkerRoom room, ServiceName service) {
         return room.open()
                 && room.service().equals(service.value())
                 && closed.stream().noneMatch(zone -> zone.value().equals(room.zone()));
     }
 
-    private static Candidate candidate(NodeName agent, Row row) {
-        return new Candidate(agent, row.room, row.room.free().minus(row.ordered.minus(row.room.yours())));
+    private Candidate candidate(NodeName agent, Row row, long nowNanos) {
+        double learnt = speeds.slowness(agent, row.room.slowness(), nowNanos);
+        Resources onTheWay = row.ordered.minus(row.room.yours());
+        return new Candidate(
+                agent,
+                row.room,
+                row.room.free().minus(onTheWay),
+                row.room.idle().minus(onTheWay),
+                Math.max(learnt, row.room.overdue()));
     }
 
     private Optional<Row> row(NodeName agent) {
--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -25,8 +25,10 @@
  * state belongs to the control lane; messages about jobs go straight to the listener on the thread they came on.
  */
 public final class NodeLinks implements LinkListener {
-    /** Pause before a failed connection is tried again; a member that comes back waits for it. */
-    private static final Duration REDIAL = Duration.ofMillis(400);
+    /** Pause before a failed connection is tried again; it doubles with each failure, since a member may be gone for good. */
+    private static final Duration FIRST_REDIAL = Duration.ofMillis(100);
+    /** Longest pause between two tries; a member that comes back waits for half of it in the mean. */
+    private static final Duration LONGEST_REDIAL = Duration.ofMillis(800);
 
     /** Hears of connections on the control lane, and of messages on the thread that they came on. */
     public interface Listener {
@@ -111,6 +113,8 @@
     private final Map<NodeName, Link> current = new HashMap<>();
     private final Map<NodeName, Member> toDial = new HashMap<>();
     private final Set<NodeName> dialing = new HashSet<>();
+    private final Map<NodeName, Duration> redials = new HashMap<>();
+    private final Set<NodeName> waitingToRedial = new HashSet<>();
     private final Set<Link> dialed = new HashSet<>();
     private boolean stopped;
 
@@ -171,15 +175,15 @@
     }
 
     /**
-     * Keeps a connection to a member from now on; called on the control lane.
+     * Keeps a connection to a member from now on; called on the control lane. A member that is not in touch is dialed at
+     * once, since it has just made itself known.
      *
      * @param member whom to reach
      */
     public void keep(Member member) {
-        Member before = toDial.put(member.node(), member);
-        if (before == null || !before.equals(member)) {
-            dial(member.node());
-        }
+        toDial.put(member.node(), member);
+        redials.remove(member.node());
+        dial(member.node());
     }
 
     /**
@@ -254,9 +258,10 @@
         control.whenDone(dialer.dial(member, this), (link, failure) -> {
             dialing.remove(node);
             if (failure != null) {
-                control.after(REDIAL, () -> dial(node));
+                redial(node);
                 return;
             }
+            redials.remove(node);
             dialed.add(link);
             states.computeIfAbsent(link, created -> new State(time.nanos()));
             link.send(new Introduce(self, incarnation));
@@ -264,6 +269,18 @@
         });
     }
 
+    private void redial(NodeName node) {
+        Duration pause = redials.getOrDefault(node, FIRST_REDIAL);
+        Duration next = pause.multipliedBy(2);
+        redials.put(node, next.compareTo(LONGEST_REDIAL) < 0 ? next : LONGEST_REDIAL);
+        if (waitingToRedial.add(node)) {
+            control.after(pause, () -> {
+                waitingToRedial.remove(node);
+                dial(node);
+            });
+        }
+    }
+
     private void watch() {
         long now = time.nanos();
         states.forEach((link, state) -> {
--- a/src/main/java/org/gypsumflow/model/BestEffortJob.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortJob.java
@@ -7,12 +7,14 @@
  *
  * @param id chosen by the caller
  * @param route route that the job came by
+ * @param routesVersion version of the routes that were in force when it came
  * @param specification what the worker is told to run
  * @param count number of tasks
  * @param task what each task needs
  * @param estimate rough running time of one task, may be far off
  */
-public record BestEffortJob(JobId id, Route route, String specification, int count, Resources task, Duration estimate) {
+public record BestEffortJob(
+        JobId id, Route route, long routesVersion, String specification, int count, Resources task, Duration estimate) {
     /** Most tasks in a job. */
     public static final int MOST_TASKS = 10_000;
 
--- a/src/main/java/org/gypsumflow/model/DispatchMessage.java
+++ b/src/main/java/org/gypsumflow/model/DispatchMessage.java
@@ -99,9 +99,11 @@
      * @param zone its availability zone
      * @param capacity what it has in all
      * @param free what is left after everything that runs or waits there; may be negative
-     * @param yours what of that belongs to orders of the receiver
+     * @param idle what no task at work uses; tasks that wait may be overtaken by more urgent ones
+     * @param yours what orders of the receiver use, at work or waiting
      * @param meanRun mean running time of recent tasks
      * @param slowness running time of recent tasks against their estimates, 1.0 if they agree
+     * @param overdue running time so far of tasks that should long have ended, against their estimates; 0 if few are
      * @param failing share of recent runs that failed, 0.0 to 1.0
      * @param running number of tasks that run
      */
@@ -111,9 +113,11 @@
             String zone,
             Resources capacity,
             Resources free,
+            Resources idle,
             Resources yours,
             Duration meanRun,
             double slowness,
+            double overdue,
             double failing,
             int running) {}
 
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -56,6 +56,14 @@
     JOB_GIVEN_UP(600, Level.WARN, "job {} of route {} given up, may have run: {}, agents known: {}: {}"),
     /** A job that is not stored ended before its tasks did. */
     JOB_ENDED_EARLY(601, Level.INFO, "job {} of route {} ended early: {}"),
+    /** An order of an entry ended at its agent. */
+    TASK_ENDED(618, Level.INFO, "task {} run {} of entry {} ended {}: waited {} ms for room, ran {} ms of about {} ms"),
+    /** A job that is not stored was answered whole. */
+    JOB_DONE(
+            617,
+            Level.INFO,
+            "job {} of route {} (routes of version {}) done after {} ms, {} tasks of about {} ms in {} orders on {}"
+                    + " workers, slowest run {} ms on {}"),
     /** An agent could not start a task. */
     START_REFUSED(602, Level.WARN, "worker refused task {} run {}: {}"),
     /** A worker does not answer. */
--- a/src/main/java/org/gypsumflow/platform/JobBody.java
+++ b/src/main/java/org/gypsumflow/platform/JobBody.java
@@ -31,7 +31,7 @@
      * @return the job; empty if it asks for something that this version cannot do
      * @throws org.gypsumflow.model.ValidationException if the body is wrong
      */
-    static Optional<BestEffortJob> read(JobId id, Route route, byte[] body) {
+    static Optional<BestEffortJob> read(JobId id, Route route, long routesVersion, byte[] body) {
         JsonNode job = Json.object(body);
         String specification = Json.optionalText(job, "spec").orElse("");
         Check.isTrue(specification.length() <= MOST_SPECIFICATION_CHARACTERS, "spec", "is too long");
@@ -51,6 +51,7 @@
         return Optional.of(new BestEffortJob(
                 id,
                 route,
+                routesVersion,
                 specification,
                 (int) Json.whole(step, "count"),
                 needs,
--- a/src/main/java/org/gypsumflow/platform/JobCalls.java
+++ b/src/main/java/org/gypsumflow/platform/JobCalls.java
@@ -100,7 +100,7 @@
         String rest = call.path().substring(route.get().pathPrefix().length());
         try {
             return switch (call.method()) {
-                case "POST" -> submit(JobId.of(rest), route.get(), call);
+                case "POST" -> submit(JobId.of(rest), route.get(), table.version(), call);
                 case "GET" -> rest.isEmpty() ? reply(Reply.json(OK, Map.of("pending", 0))) : state(JobId.of(rest));
                 case "DELETE" -> cancel(JobId.of(rest));
                 default -> reply(error(METHOD_NOT_ALLOWED, "method " + call.method() + " is not supported"));
@@ -111,8 +111,8 @@
         }
     }
 
-    private CompletableFuture<Reply> submit(JobId id, Route route, Call call) {
-        Optional<BestEffortJob> job = JobBody.read(id, route, call.body());
+    private CompletableFuture<Reply> submit(JobId id, Route route, long version, Call call) {
+        Optional<BestEffortJob> job = JobBody.read(id, route, version, call.body());
         if (job.isEmpty()) {
             return reply(error(UNAVAILABLE, "this kind of job is not supported"));
         }
--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -137,6 +137,7 @@
         traffic.execute(() -> {
             driver.reported(report);
             act();
+            owners.forEach(this::tellIfChanged);
         });
     }
 
@@ -162,7 +163,11 @@
 
     @Override
     public void connected(Member member, Link link) {
-        traffic.execute(() -> owners.put(member.node(), new Owner(link)));
+        traffic.execute(() -> {
+            Owner owner = new Owner(link);
+            owners.put(member.node(), owner);
+            tell(owner, List.of(), desk.roomFor(member.node(), time.nanos()));
+        });
     }
 
     @Override
@@ -203,9 +208,7 @@
         desk.tick(time.nanos()).forEach(this::logStuck);
         act();
         logStanding();
-        for (Map.Entry<NodeName, Owner> each : owners.entrySet()) {
-            tellIfChanged(each.getKey(), each.getValue());
-        }
+        owners.forEach(this::tellIfChanged);
     }
 
     private void logStuck(Stuck stuck) {
@@ -260,6 +263,15 @@
 
     private void ended(OwnedEnd end) {
         ended.computeIfAbsent(end.owner(), owner -> new ArrayList<>()).add(end.ended());
+        events.write(
+                Event.TASK_ENDED,
+                end.ended().task(),
+                end.ended().run().value(),
+                end.owner(),
+                end.ended().ending(),
+                end.waited().toMillis(),
+                end.ended().ran().toMillis(),
+                end.estimate().toMillis());
     }
 
     private void tellIfChanged(NodeName name, Owner owner) {
--- a/src/main/java/org/gypsumflow/wire/DispatchCodec.java
+++ b/src/main/java/org/gypsumflow/wire/DispatchCodec.java
@@ -211,9 +211,11 @@
                 .setZone(room.zone())
                 .setCapacity(encode(room.capacity()))
                 .setFree(encode(room.free()))
+                .setIdle(encode(room.idle()))
                 .setYours(encode(room.yours()))
                 .setMeanRunMillis((int) room.meanRun().toMillis())
                 .setSlowness((float) room.slowness())
+                .setOverdue((float) room.overdue())
                 .setFailing((float) room.failing())
                 .setRunning(room.running()));
         return part.build();
@@ -236,9 +238,11 @@
                         room.getZone(),
                         decode(room.getCapacity()),
                         decode(room.getFree()),
+                        decode(room.getIdle()),
                         decode(room.getYours()),
                         Duration.ofMillis(room.getMeanRunMillis()),
                         room.getSlowness(),
+                        room.getOverdue(),
                         room.getFailing(),
                         room.getRunning()));
     }
--- a/src/test/java/org/gypsumflow/command/AgentDeskTest.java
+++ b/src/test/java/org/gypsumflow/command/AgentDeskTest.java
@@ -56,11 +56,15 @@
     }
 
     private void order(int index, int urgencyMillis) {
+        order(index, 3000, urgencyMillis);
+    }
+
+    private void order(int index, int processorMillis, int urgencyMillis) {
         Order order = new Order(
                 task(index),
                 RunNumber.FIRST,
                 "text",
-                Resources.of(3000, 10, 0),
+                Resources.of(processorMillis, 10, 0),
                 Duration.ofMillis(100),
                 Duration.ofMillis(500),
                 Duration.ofMillis(urgencyMillis),
@@ -104,6 +108,35 @@
         assertEquals(ends(), List.of(TaskEnding.NOT_STARTED));
     }
 
+    @Test
+    public void roomForUrgentTasksLeavesOutWaitingTasksWithTimeToSpare() {
+        order(0, 600);
+        order(1, 600);
+        order(2, 600);
+        assertEquals(desk.roomFor(ENTRY, 0).free().processorMillis(), -1000);
+        assertEquals(desk.roomFor(ENTRY, 0).idle().processorMillis(), 2000);
+    }
+
+    @Test
+    public void anOrderWithTimeToSpareLeavesTheLastRoomUntilItIsUrgent() {
+        for (int index = 0; index < 3; index++) {
+            order(index, 2600, 600);
+        }
+        assertEquals(started(), List.of(task(0), task(1)));
+        desk.tick(millis(500));
+        assertEquals(started(), List.of(task(2)));
+    }
+
+    @Test
+    public void anUrgentOrderStartsAheadOfWaitingOnesWithTimeToSpare() {
+        for (int index = 0; index < 3; index++) {
+            order(index, 2600, 600);
+        }
+        desk.drainActions();
+        order(3, 2600, 50);
+        assertEquals(started(), List.of(task(3)));
+    }
+
     @Test
     public void theMostUrgentOrderGetsTheRoomThatAnEndLeaves() {
         order(0, 100);
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -66,10 +66,12 @@
                 "zone",
                 Resources.of(32_000, 100_000, 0),
                 Resources.of(freeCores * 1000, 100_000, 0),
+                Resources.of(freeCores * 1000, 100_000, 0),
                 Resources.NONE,
                 Duration.ofMillis(200),
                 0.8,
                 0,
+                0,
                 0);
     }
 
@@ -79,7 +81,13 @@
 
     private void submit(int count) {
         BestEffortJob job = new BestEffortJob(
-                JobId.of("00000000000000aa"), ROUTE, "text", count, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+                JobId.of("00000000000000aa"),
+                ROUTE,
+                1,
+                "text",
+                count,
+                Resources.of(3000, 64, 0),
+                Duration.ofMillis(300));
         dispatcher.submit(job, 0, PATIENCE, answers::add);
     }
 
@@ -175,7 +183,7 @@
         java.util.function.Consumer<JobAnswer> early = answer -> {};
         java.util.function.Consumer<JobAnswer> late = answer -> {};
         BestEffortJob job = new BestEffortJob(
-                JobId.of("00000000000000bb"), ROUTE, "", 1, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+                JobId.of("00000000000000bb"), ROUTE, 1, "", 1, Resources.of(3000, 64, 0), Duration.ofMillis(300));
         dispatcher.submit(job, 0, PATIENCE, early);
         dispatcher.submit(job, 0, PATIENCE, late);
         dispatcher.leave(job.id(), early);
--- a/src/test/java/org/gypsumflow/command/SoonestEndTest.java
+++ b/src/test/java/org/gypsumflow/command/SoonestEndTest.java
@@ -25,12 +25,14 @@
                 "zone",
                 Resources.of(32_000, 100_000, 0),
                 Resources.of(freeCores * 1000, 100_000, 0),
+                Resources.of(freeCores * 1000, 100_000, 0),
                 Resources.NONE,
                 Duration.ofMillis(200),
                 slowness,
+                0,
                 failing,
                 0);
-        return new Candidate(NodeName.of(name), room, room.free());
+        return new Candidate(NodeName.of(name), room, room.free(), room.idle(), slowness);
     }
 
     private static Wanted job(int count, int estimateMillis) {
@@ -40,6 +42,7 @@
                 Duration.ofMillis(estimateMillis),
                 1.6,
                 Duration.ofMillis(60),
+                Duration.ofMillis(60 + estimateMillis * 3L / 5),
                 Duration.ofMillis(estimateMillis * 5L),
                 false);
     }
@@ -113,6 +116,7 @@
                 Duration.ofMillis(50),
                 1.6,
                 Duration.ofMillis(60),
+                Duration.ofMillis(90),
                 Duration.ofSeconds(1),
                 false);
         assertTrue(RULE.choose(wanted, List.of(worker("one", 32, 0.8, 0))).isEmpty());
@@ -120,8 +124,15 @@
 
     @Test
     public void whatIsLeftOfABegunJobMayEndLate() {
-        Wanted wanted =
-                new Wanted(1, TASK, Duration.ofMillis(300), 1.6, Duration.ofMillis(-400), Duration.ofMillis(900), true);
+        Wanted wanted = new Wanted(
+                1,
+                TASK,
+                Duration.ofMillis(300),
+                1.6,
+                Duration.ofMillis(-400),
+                Duration.ofMillis(-220),
+                Duration.ofMillis(900),
+                true);
         assertEquals(chosen(wanted, List.of(worker("one", 4, 0.8, 0))), List.of(NodeName.of("one")));
     }
 }
--- a/src/test/java/org/gypsumflow/platform/JobBodyTest.java
+++ b/src/test/java/org/gypsumflow/platform/JobBodyTest.java
@@ -22,7 +22,7 @@
             RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 1, 1.6, Duration.ofMillis(60), Duration.ofSeconds(1));
 
     private static Optional<BestEffortJob> read(String body) {
-        return JobBody.read(JobId.of("5c0e7a21d94b36f8"), ROUTE, body.getBytes(StandardCharsets.UTF_8));
+        return JobBody.read(JobId.of("5c0e7a21d94b36f8"), ROUTE, 1, body.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
--- a/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
@@ -109,12 +109,13 @@
 
     private static WorkerRoom room() {
         Resources capacity = Resources.of(32_000, 100_000, 0);
-        return new WorkerRoom(true, "s", "sofia", capacity, capacity, Resources.NONE, Duration.ofMillis(100), 1, 0, 0);
+        return new WorkerRoom(
+                true, "s", "sofia", capacity, capacity, capacity, Resources.NONE, Duration.ofMillis(100), 1, 0, 0, 0);
     }
 
     private CompletableFuture<JobAnswer> submit(String id, CompletableFuture<Void> abandoned) {
         BestEffortJob job =
-                new BestEffortJob(JobId.of(id), ROUTE, "", 1, Resources.of(1000, 10, 0), Duration.ofMillis(300));
+                new BestEffortJob(JobId.of(id), ROUTE, 1, "", 1, Resources.of(1000, 10, 0), Duration.ofMillis(300));
         return entry.submit(job, PATIENCE, abandoned);
     }
 
--- a/src/test/java/org/gypsumflow/wire/DispatchCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/DispatchCodecTest.java
@@ -63,9 +63,11 @@
                 "sofia",
                 Resources.of(32_000, 100, 0),
                 Resources.of(-500, 50, 0),
+                Resources.of(900, 60, 0),
                 Resources.of(100, 1, 0),
                 Duration.ofMillis(211),
                 0.5,
+                2.5,
                 0.25,
                 7);
         Route route = new Route(
