--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -33,6 +33,8 @@
     /** Time between the answer at the entry and the caller's receipt, which the deadline must cover. */
     private static final Duration ANSWER_TRAVEL = Duration.ofMillis(30);
 
+    /** Agents that restarted are in touch again within this time; start-up after a loss of power takes half of it. */
+    private static final Duration WORKERS_BACK_WITHIN = Duration.ofSeconds(2);
     /** Time between two tries to place jobs that found no room; ends of tasks leave room more often than this. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
     /** Share of its slack that a job keeps when it stops waiting for room; the estimate behind it may be off by 40 %. */
@@ -43,6 +45,8 @@
     private final Map<JobId, JobRun> jobs = new HashMap<>();
     private final Map<JobId, JobRun> withoutRoom = new LinkedHashMap<>();
     private long triedNanos;
+    private long workersSeenNanos;
+    private boolean anyJob;
     private final WorkerBoard board;
     private final PlacementRule rule;
     private final JobPorts ports;
@@ -257,6 +261,7 @@
             return;
         }
         Collection<Candidate> candidates = board.candidates(job.route().service(), nowNanos);
+        boolean workersAreExpected = areWorkersExpected(candidates, nowNanos);
         Duration latest = run.uselessIn(nowNanos);
         Wanted wanted = new Wanted(
                 waiting.size(),
@@ -271,7 +276,7 @@
         if (!chosen.isEmpty()) {
             withoutRoom.remove(job.id());
             order(run, waiting, chosen, nowNanos);
-        } else if (mayWait) {
+        } else if (mayWait && workersAreExpected) {
             withoutRoom.putIfAbsent(job.id(), run);
         } else {
             giveUp(run, candidates.isEmpty() ? "no worker is in touch" : "no worker can end the job in time");
@@ -284,6 +289,15 @@
         return !run.mayHaveRun() && run.slack(nowNanos).toNanos() > SLACK_KEPT * slackAtFirst;
     }
 
+    /** Workers that were there a moment ago, or may not have been found yet, are waited for; others are not. */
+    private boolean areWorkersExpected(Collection<Candidate> candidates, long nowNanos) {
+        if (!candidates.isEmpty() || !anyJob) {
+            anyJob = true;
+            workersSeenNanos = nowNanos;
+        }
+        return nowNanos - workersSeenNanos <= WORKERS_BACK_WITHIN.toNanos();
+    }
+
     /** Room goes to the job that comes first by the operator's priorities, not to the one that happens to need less. */
     private boolean isBehindOthers(JobRun run) {
         int priority = run.job().route().priority();
