Tell entries of an end as soon as the worker lists it

Cause: ends that the driver of a worker found in an account waited in the agent until its next message or tick, up to 100 ms.

The driver now says when the ends of one moment are known. DispatchAgentTest fails without it. A new entry and a new worker are told of at once as well.

--- a/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchAgent.java
@@ -66,7 +66,7 @@
         this.time = time;
         this.events = events;
         this.state = state;
-        this.driver = new WorkerDriver(traffic, time, desk, worker, events, this::ended);
+        this.driver = new WorkerDriver(traffic, time, desk, worker, events, this::ended, this::tellEnds);
     }
 
     /**
@@ -108,7 +108,7 @@
         traffic.execute(() -> {
             drained = done;
             desk.leave(time.nanos());
-            act();
+            driver.act();
         });
         return done;
     }
@@ -122,7 +122,7 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         traffic.execute(() -> {
             owners.keySet().forEach(owner -> desk.entryLost(owner, time.nanos()));
-            act();
+            driver.act();
             done.complete(null);
         });
         return done;
@@ -136,8 +136,8 @@
     public void workerReported(WorkerReport report) {
         traffic.execute(() -> {
             driver.reported(report);
-            act();
-            owners.forEach(this::tellIfChanged);
+            driver.act();
+            owners.forEach((name, owner) -> tell(owner, List.of(), desk.roomFor(name, time.nanos())));
         });
     }
 
@@ -149,7 +149,7 @@
     public void workerLeft(String worker) {
         traffic.execute(() -> {
             desk.workerLeft(worker, time.nanos());
-            act();
+            driver.act();
         });
     }
 
@@ -157,7 +157,7 @@
     public void closuresChanged() {
         traffic.execute(() -> {
             desk.close(state.known().closures().zones(), time.nanos());
-            act();
+            driver.act();
         });
     }
 
@@ -178,7 +178,7 @@
             if (orders > 0) {
                 events.write(Event.ENTRY_ORDERS_DROPPED, orders, member.node(), "out of touch");
             }
-            act();
+            driver.act();
         });
     }
 
@@ -192,7 +192,7 @@
             } else if (message instanceof StopOrders stop) {
                 desk.stop(from, stop.job(), stop.indexes(), now);
             }
-            act();
+            driver.act();
         });
     }
 
@@ -206,7 +206,7 @@
     private void tick() {
         noticePause();
         desk.tick(time.nanos()).forEach(this::logStuck);
-        act();
+        driver.act();
         logStanding();
         owners.forEach(this::tellIfChanged);
     }
@@ -247,8 +247,7 @@
         }
     }
 
-    private void act() {
-        driver.act();
+    private void tellEnds() {
         ended.forEach((name, ends) -> {
             Owner owner = owners.get(name);
             if (owner != null) {
--- a/src/main/java/org/gypsumflow/traffic/WorkerDriver.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerDriver.java
@@ -41,6 +41,7 @@
     private final WorkerPort port;
     private final EventLog events;
     private final Consumer<OwnedEnd> ends;
+    private final Runnable afterEnds;
 
     private long fencingToken;
     private long workerLife;
@@ -52,14 +53,27 @@
     private boolean silent;
     private long answeredNanos;
 
+    /**
+     * Creates the driver of a worker.
+     *
+     * @param ends hears of each end
+     * @param afterEnds runs after the ends that became known at one moment, so that they can be told together
+     */
     WorkerDriver(
-            Lane lane, TimeSource time, AgentDesk desk, WorkerPort port, EventLog events, Consumer<OwnedEnd> ends) {
+            Lane lane,
+            TimeSource time,
+            AgentDesk desk,
+            WorkerPort port,
+            EventLog events,
+            Consumer<OwnedEnd> ends,
+            Runnable afterEnds) {
         this.lane = lane;
         this.time = time;
         this.desk = desk;
         this.port = port;
         this.events = events;
         this.ends = ends;
+        this.afterEnds = afterEnds;
         this.fencingToken = time.millis();
     }
 
@@ -92,6 +106,7 @@
             actions.start().forEach(this::start);
             actions = desk.drainActions();
         }
+        afterEnds.run();
         renew();
     }
 
--- /dev/null
+++ b/src/test/java/org/gypsumflow/traffic/DispatchAgentTest.java
@@ -0,0 +1,134 @@
+package org.gypsumflow.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.control.SharedState;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.DispatchMessage.AgentReport;
+import org.gypsumflow.model.DispatchMessage.Ended;
+import org.gypsumflow.model.DispatchMessage.Order;
+import org.gypsumflow.model.DispatchMessage.StartOrders;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RunNumber;
+import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.TaskEnding;
+import org.gypsumflow.model.TaskName;
+import org.gypsumflow.model.WorkerCall.Account;
+import org.gypsumflow.model.WorkerCall.Finished;
+import org.gypsumflow.model.WorkerCall.Renewal;
+import org.gypsumflow.model.WorkerCall.StartAnswer;
+import org.gypsumflow.model.WorkerCall.StartReply;
+import org.gypsumflow.model.WorkerReport;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class DispatchAgentTest {
+    private static final NodeName ENTRY = NodeName.of("entry");
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("sofia");
+    private static final TaskName TASK = TaskName.of(JobId.of("00000000000000aa"), 0);
+    private static final long BORN = 1;
+
+    /** A worker whose answers the test gives. */
+    private static final class ManualWorker implements WorkerPort {
+        private CompletableFuture<Account> renewal = new CompletableFuture<>();
+
+        @Override
+        public CompletableFuture<StartAnswer> start(
+                TaskName task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
+            return CompletableFuture.completedFuture(new StartAnswer(StartReply.STARTED, 0));
+        }
+
+        @Override
+        public CompletableFuture<Void> stop(TaskName task, RunNumber run, long fencingToken) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Account> renew(Renewal asked) {
+            renewal = new CompletableFuture<>();
+            return renewal;
+        }
+
+        private void answer(Finished... finished) {
+            renewal.complete(new Account(BORN, 0, List.of(), List.of(finished)));
+        }
+    }
+
+    private ManualLane lane;
+    private ManualWorker worker;
+    private Recorder entry;
+    private DispatchAgent agent;
+
+    @BeforeMethod
+    public void startAnAgentWithAWorkerAndAnEntry() {
+        lane = new ManualLane();
+        worker = new ManualWorker();
+        entry = Recorder.create();
+        agent = DispatchAgent.create(
+                lane, lane.time(), worker, SharedState.create((event, details) -> {}), (event, details) -> {});
+        agent.start();
+        agent.connected(new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1), entry);
+        agent.workerReported(report());
+        worker.answer();
+        lane.pass(200);
+    }
+
+    private static WorkerReport report() {
+        return new WorkerReport(
+                "worker", BORN, ServiceName.of("service"), ZONE, Resources.of(8000, 1000, 0), "rack", false, 1);
+    }
+
+    private void order() {
+        Order order = new Order(
+                TASK,
+                RunNumber.FIRST,
+                "text",
+                Resources.of(3000, 10, 0),
+                Duration.ofMillis(100),
+                Duration.ofMillis(500),
+                Duration.ofMillis(100),
+                true);
+        agent.message(ENTRY, new StartOrders(List.of(order)));
+    }
+
+    private List<TaskEnding> ends() {
+        return entry.sent().stream()
+                .filter(AgentReport.class::isInstance)
+                .flatMap(message -> ((AgentReport) message).ended().stream())
+                .map(Ended::ending)
+                .toList();
+    }
+
+    @Test
+    public void anEndIsToldAsSoonAsTheWorkerListsIt() {
+        order();
+        worker.answer(new Finished(1, TASK, RunNumber.FIRST, TaskEnding.DONE));
+        assertEquals(ends(), List.of(TaskEnding.DONE));
+    }
+
+    @Test
+    public void aNewEntryHearsOfTheRoomAtOnce() {
+        Recorder second = Recorder.create();
+        agent.connected(new Member(NodeName.of("second"), Member.Role.ENTRY, ZONE, "127.0.0.1", 2), second);
+        assertTrue(second.sent().get(0) instanceof AgentReport report
+                && report.room().open());
+    }
+
+    @Test
+    public void entriesHearOfANewWorkerAtOnce() {
+        agent.workerLeft("worker");
+        entry.sent().clear();
+        agent.workerReported(new WorkerReport(
+                "worker", BORN + 1, ServiceName.of("service"), ZONE, Resources.of(8000, 1000, 0), "rack", false, 1));
+        assertTrue(entry.sent().stream()
+                .anyMatch(message ->
+                        message instanceof AgentReport report && report.room().open()));
+    }
+}
--- a/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
@@ -5,14 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.SoonestEnd;
-import org.gypsumflow.control.Lane;
-import org.gypsumflow.control.Link;
 import org.gypsumflow.control.SharedState;
-import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.DispatchMessage.AgentReport;
@@ -26,7 +22,6 @@
 import org.gypsumflow.model.JobAnswer;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
-import org.gypsumflow.model.Message;
 import org.gypsumflow.model.NodeName;
 import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.Route;
@@ -44,46 +39,6 @@
             RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 2, 1.6, Duration.ofMillis(60), Duration.ofSeconds(2));
     private static final Duration PATIENCE = Duration.ofSeconds(5);
 
-    /** Runs actions at once, and delayed ones when the test lets time pass. */
-    private static final class ManualLane implements Lane {
-        private record Later(long atMillis, Runnable action) {}
-
-        private final List<Later> later = new ArrayList<>();
-        private long nowMillis = 1_000_000;
-
-        @Override
-        public void execute(Runnable action) {
-            action.run();
-        }
-
-        @Override
-        public void after(Duration delay, Runnable action) {
-            later.add(new Later(nowMillis + delay.toMillis(), action));
-        }
-
-        private void pass(long millis) {
-            long end = nowMillis + millis;
-            while (nowMillis < end) {
-                nowMillis++;
-                List<Later> due = later.stream()
-                        .filter(each -> each.atMillis <= nowMillis)
-                        .toList();
-                later.removeAll(due);
-                due.forEach(each -> each.action.run());
-            }
-        }
-    }
-
-    private record Recorder(List<Message> sent) implements Link {
-        @Override
-        public void send(Message message) {
-            sent.add(message);
-        }
-
-        @Override
-        public void close() {}
-    }
-
     private ManualLane lane;
     private Recorder agent;
     private Recorder peer;
@@ -92,11 +47,14 @@
     @BeforeMethod
     public void startAnEntryWithAnAgentAndAPeer() {
         lane = new ManualLane();
-        agent = new Recorder(new ArrayList<>());
-        peer = new Recorder(new ArrayList<>());
-        TimeSource time = new TimeSource(() -> Duration.ofMillis(lane.nowMillis).toNanos(), () -> lane.nowMillis);
+        agent = Recorder.create();
+        peer = Recorder.create();
         entry = DispatchEntry.create(
-                lane, time, SoonestEnd.rule(), SharedState.create((event, details) -> {}), (event, details) -> {});
+                lane,
+                lane.time(),
+                SoonestEnd.rule(),
+                SharedState.create((event, details) -> {}),
+                (event, details) -> {});
         entry.start();
         entry.connected(member(AGENT, Member.Role.AGENT), agent);
         entry.connected(member(PEER, Member.Role.ENTRY), peer);
@@ -175,7 +133,7 @@
     @Test
     public void anEntryThatStoodStillStopsWhatItHadUnderWay() {
         CompletableFuture<JobAnswer> answer = submit("00000000000000a6", new CompletableFuture<>());
-        lane.nowMillis += 4000;
+        lane.standStill(4000);
         lane.pass(200);
         assertEquals(answer.join().verdict(), Verdict.MAY_HAVE_RUN);
     }
--- /dev/null
+++ b/src/test/java/org/gypsumflow/traffic/ManualLane.java
@@ -0,0 +1,46 @@
+package org.gypsumflow.traffic;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.gypsumflow.control.Lane;
+import org.gypsumflow.control.TimeSource;
+
+/** Runs actions at once, and delayed ones when the test lets time pass. */
+final class ManualLane implements Lane {
+    private record Later(long atMillis, Runnable action) {}
+
+    private final List<Later> later = new ArrayList<>();
+    private long nowMillis = 1_000_000;
+
+    @Override
+    public void execute(Runnable action) {
+        action.run();
+    }
+
+    @Override
+    public void after(Duration delay, Runnable action) {
+        later.add(new Later(nowMillis + delay.toMillis(), action));
+    }
+
+    /** Tells the lane's own time. */
+    TimeSource time() {
+        return new TimeSource(() -> Duration.ofMillis(nowMillis).toNanos(), () -> nowMillis);
+    }
+
+    /** Lets time pass without running what is due, as when a host is frozen. */
+    void standStill(long millis) {
+        nowMillis += millis;
+    }
+
+    void pass(long millis) {
+        long end = nowMillis + millis;
+        while (nowMillis < end) {
+            nowMillis++;
+            List<Later> due =
+                    later.stream().filter(each -> each.atMillis <= nowMillis).toList();
+            later.removeAll(due);
+            due.forEach(each -> each.action.run());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/traffic/Recorder.java
@@ -0,0 +1,21 @@
+package org.gypsumflow.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gypsumflow.control.Link;
+import org.gypsumflow.model.Message;
+
+/** A connection that keeps what was sent on it. */
+record Recorder(List<Message> sent) implements Link {
+    static Recorder create() {
+        return new Recorder(new ArrayList<>());
+    }
+
+    @Override
+    public void send(Message message) {
+        sent.add(message);
+    }
+
+    @Override
+    public void close() {}
+}
