--- a/src/main/java/org/gypsumflow/bench/load/ModelNetwork.java
+++ b/src/main/java/org/gypsumflow/bench/load/ModelNetwork.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.gypsumflow.command.DispatchLimits;
 import org.gypsumflow.command.JobDispatcher;
+import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobPorts;
 import org.gypsumflow.command.PlacementRule;
 import org.gypsumflow.command.WorkerBoard;
@@ -38,7 +39,8 @@
         JobPorts ports = new JobPorts(
                 (agent, orders) -> start(name, agent, orders),
                 (agent, job, indexes) -> stop(name, agent, job, indexes));
-        JobDispatcher dispatcher = JobDispatcher.create(WorkerBoard.create(), rule, ports, EventLog.none());
+        JobDispatcher dispatcher =
+                JobDispatcher.create(WorkerBoard.create(), rule, ports, EventLog.none(), JobObserver.none());
         entries.put(name, dispatcher);
         time.every(DispatchLimits.REPORT, () -> dispatcher.tick(time.nowNanos()));
     }
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -45,18 +45,22 @@
     private final Map<JobId, JobRun> jobs = new HashMap<>();
     private final Map<JobId, JobRun> withoutRoom = new LinkedHashMap<>();
     private long triedNanos;
+    private long newestNanos;
     private long workersSeenNanos;
     private boolean anyJob;
     private final WorkerBoard board;
     private final PlacementRule rule;
     private final JobPorts ports;
     private final EventLog events;
+    private final JobObserver observer;
 
-    private JobDispatcher(WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events) {
+    private JobDispatcher(
+            WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events, JobObserver observer) {
         this.board = board;
         this.rule = rule;
         this.ports = ports;
         this.events = events;
+        this.observer = observer;
     }
 
     /**
@@ -66,10 +70,12 @@
      * @param rule chooses workers
      * @param ports carries orders
      * @param events receives numbered events
+     * @param observer hears of the answers
      * @return the dispatcher
      */
-    public static JobDispatcher create(WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events) {
-        return new JobDispatcher(board, rule, ports, events);
+    public static JobDispatcher create(
+            WorkerBoard board, PlacementRule rule, JobPorts ports, EventLog events, JobObserver observer) {
+        return new JobDispatcher(board, rule, ports, events, observer);
     }
 
     /**
@@ -81,6 +87,7 @@
      * @param asker gets the final answer, once
      */
     public void submit(BestEffortJob job, long nowNanos, Duration timeLeft, Consumer<JobAnswer> asker) {
+        newestNanos = nowNanos;
         JobRun known = jobs.get(job.id());
         if (known != null) {
             known.ask(asker);
@@ -153,6 +160,7 @@
      * @param nowNanos monotonic clock
      */
     public void report(NodeName agent, AgentReport report, long nowNanos) {
+        newestNanos = nowNanos;
         Collection<JobRun> touched = new ArrayList<>();
         for (Ended ended : report.ended()) {
             take(agent, ended, nowNanos).ifPresent(touched::add);
@@ -183,6 +191,7 @@
      * @param nowNanos monotonic clock
      */
     public void tick(long nowNanos) {
+        newestNanos = nowNanos;
         tryAgain(nowNanos);
         for (JobRun run : List.copyOf(jobs.values())) {
             if (nowNanos - run.deadlineNanos() >= 0) {
@@ -369,6 +378,7 @@
             run.orderedAt(agent).forEach(index -> board.settled(agent, run.job().task()));
             ports.stopper().stop(agent, run.job().id(), indexes);
         });
+        observer.answered(run.job().route().name(), answer, run.age(newestNanos));
         run.answer(answer);
     }
 }
--- a/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
@@ -15,6 +15,8 @@
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.HttpCaller;
 import org.gypsumflow.http.HttpFront;
+import org.gypsumflow.http.HttpFront.Call;
+import org.gypsumflow.http.HttpFront.Reply;
 import org.gypsumflow.log.KeyedLog;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
@@ -26,6 +28,7 @@
 
 /** What both roles on the users' platform have in common: lanes, connections, the store, start and stop. */
 abstract class DispatchDaemon implements Daemon {
+    private static final int OK = 200;
     /** Share of the grace time after which a leaving process ends; the rest is left for its own end. */
     private static final double GRACE_SHARE = 0.88;
     /** Connections to the store: one for each followed topic and one for writes, with one to spare. */
@@ -34,7 +37,8 @@
     private static final long FLUSH_MILLIS = 100;
 
     private final DispatchSettings settings;
-    private final EventLog events = new TinyEventLog();
+    private final DispatchMetrics metrics = DispatchMetrics.create();
+    private final EventLog events = metrics.counting(new TinyEventLog());
     private final List<ThreadLane> lanes = new ArrayList<>();
     private final NettyTransport transport;
     private final HttpFront front;
@@ -82,6 +86,10 @@
         return settings;
     }
 
+    DispatchMetrics metrics() {
+        return metrics;
+    }
+
     HttpFront front() {
         return front;
     }
@@ -159,9 +167,14 @@
             directory.follow();
         }
         serve();
+        settings.metrics().ifPresent(address -> front.alsoListen(address, this::scrape));
         events.write(Event.STARTED, self.node(), incarnation, self.zone());
     }
 
+    private CompletableFuture<Reply> scrape(Call call) {
+        return CompletableFuture.completedFuture(Reply.text(OK, metrics.scrape()));
+    }
+
     private Lane lane(String name) {
         ThreadLane lane = ThreadLane.create(name, events);
         lanes.add(lane);
--- a/src/main/java/org/gypsumflow/daemon/DispatchEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchEntryDaemon.java
@@ -22,7 +22,8 @@
 
     DispatchEntryDaemon(DispatchSettings settings) {
         super(settings, settings.callers());
-        this.entry = DispatchEntry.create(traffic(), TimeSource.system(), SoonestEnd.rule(), state(), events());
+        this.entry = DispatchEntry.create(
+                traffic(), TimeSource.system(), SoonestEnd.rule(), state(), events(), metrics()::answered);
         HttpFront front = front();
         Readiness.register(front, this::isReady);
         JobCalls.register(
--- a/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.Check;
@@ -18,6 +19,7 @@
  * @param reports where the worker reports itself, agents only
  * @param worker where the worker takes orders, as {@code host:port}, agents only
  * @param store where the platform's store listens, as {@code host:port}
+ * @param metrics where metrics are served, if they are
  * @param grace time between the request to stop and the end of the process at the platform's hands
  */
 record DispatchSettings(
@@ -27,6 +29,7 @@
         InetSocketAddress reports,
         String worker,
         String store,
+        Optional<InetSocketAddress> metrics,
         Duration grace) {
     private static final String TABLE = "dispatch";
     private static final Set<String> ENTRY_ONLY = Set.of("dispatch.callers-address", "dispatch.readiness-address");
@@ -60,16 +63,20 @@
                 entry ? null : address(reader, "dispatch.reports-address"),
                 entry ? "" : reader.text("dispatch.worker-address"),
                 reader.text("dispatch.store-address"),
+                reader.optionalText("dispatch.metrics-address").map(text -> address("dispatch.metrics-address", text)),
                 Duration.ofSeconds(reader.number("dispatch.grace-seconds", 6, 1, MOST_GRACE_SECONDS)));
         reader.ignore(entry ? AGENT_ONLY : ENTRY_ONLY);
         reader.finish();
         return settings;
     }
 
+    private static InetSocketAddress address(SettingsReader reader, String name) {
+        return address(name, reader.text(name));
+    }
+
     // Addresses are IP numbers, so that nothing is looked up.
     @SuppressWarnings("DnsLookup")
-    private static InetSocketAddress address(SettingsReader reader, String name) {
-        String text = reader.text(name);
+    private static InetSocketAddress address(String name, String text) {
         int colon = text.lastIndexOf(':');
         Check.isTrue(colon > 0, name, "\"" + text + "\" must look like \"10.0.0.1:7101\"");
         try {
--- a/src/main/java/org/gypsumflow/http/HttpFront.java
+++ b/src/main/java/org/gypsumflow/http/HttpFront.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -137,6 +138,7 @@
     private final HttpServer server = new HttpServer();
     private final NetworkListener listener;
     private final Map<Key, Route> routes = new ConcurrentHashMap<>();
+    private final Map<Integer, Route> routesOfPorts = new ConcurrentHashMap<>();
     private final EventLog events;
     private volatile Route otherwise;
     private volatile boolean sendingAway;
@@ -271,6 +273,18 @@
         }
     }
 
+    /**
+     * Listens at a further address, on the same thread, where one route answers all calls.
+     *
+     * @param address where to listen; its port must not be free to choose
+     * @param route answers the calls
+     * @throws UncheckedIOException if the address is taken
+     */
+    public void alsoListen(InetSocketAddress address, Route route) {
+        routesOfPorts.put(address.getPort(), route);
+        alsoListen(address);
+    }
+
     /**
      * Asks callers, with each answer from now on, to close their connection and come back by another.
      */
@@ -361,7 +375,7 @@
     private void dispatch(Request request, Response response, byte[] body) {
         String method = request.getMethod().getMethodString();
         Optional<Map.Entry<Key, Route>> route = find(method, request.getRequestURI());
-        if (route.isEmpty() && otherwise == null) {
+        if (route.isEmpty() && otherwise == null && !routesOfPorts.containsKey(request.getLocalPort())) {
             boolean known = Method.GET.equals(request.getMethod()) || Method.POST.equals(request.getMethod());
             String message = method + " " + request.getRequestURI() + " does not exist";
             finish(
@@ -387,10 +401,12 @@
                 request::getParameter,
                 body,
                 abandoned);
-        answer(route.map(Map.Entry::getValue).orElse(otherwise), call).whenComplete((reply, failure) -> {
-            connection.removeCloseListener(closed);
-            finish(response, failure == null ? reply : refused(refusalOf(failure)));
-        });
+        Route matching = route.map(Map.Entry::getValue).orElse(otherwise);
+        answer(routesOfPorts.getOrDefault(request.getLocalPort(), matching), call)
+                .whenComplete((reply, failure) -> {
+                    connection.removeCloseListener(closed);
+                    finish(response, failure == null ? reply : refused(refusalOf(failure)));
+                });
     }
 
     private Optional<Map.Entry<Key, Route>> find(String method, String path) {
--- a/src/main/java/org/gypsumflow/traffic/DispatchEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/DispatchEntry.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.gypsumflow.command.DispatchLimits;
 import org.gypsumflow.command.JobDispatcher;
+import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobPorts;
 import org.gypsumflow.command.PeerJobs;
 import org.gypsumflow.command.PlacementRule;
@@ -63,12 +64,18 @@
     private volatile int agentsInTouch;
     private boolean stopped;
 
-    private DispatchEntry(Lane traffic, TimeSource time, PlacementRule rule, SharedState state, EventLog events) {
+    private DispatchEntry(
+            Lane traffic,
+            TimeSource time,
+            PlacementRule rule,
+            SharedState state,
+            EventLog events,
+            JobObserver observer) {
         this.traffic = traffic;
         this.time = time;
         this.events = events;
         this.state = state;
-        this.dispatcher = JobDispatcher.create(board, rule, new JobPorts(this::start, this::stop), events);
+        this.dispatcher = JobDispatcher.create(board, rule, new JobPorts(this::start, this::stop), events, observer);
     }
 
     /**
@@ -79,11 +86,17 @@
      * @param rule chooses workers
      * @param state routes and closures
      * @param events receives numbered events
+     * @param observer hears of the answers
      * @return the traffic
      */
     public static DispatchEntry create(
-            Lane traffic, TimeSource time, PlacementRule rule, SharedState state, EventLog events) {
-        return new DispatchEntry(traffic, time, rule, state, events);
+            Lane traffic,
+            TimeSource time,
+            PlacementRule rule,
+            SharedState state,
+            EventLog events,
+            JobObserver observer) {
+        return new DispatchEntry(traffic, time, rule, state, events, observer);
     }
 
     /** Begins to watch the time. */
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -55,7 +55,8 @@
         JobPorts ports = new JobPorts(
                 (agent, orders) -> orders.forEach(order -> sent.add(new Sent(agent, order))),
                 (agent, job, indexes) -> stopped.add(agent));
-        dispatcher = JobDispatcher.create(WorkerBoard.create(), SoonestEnd.rule(), ports, (event, details) -> {});
+        dispatcher = JobDispatcher.create(
+                WorkerBoard.create(), SoonestEnd.rule(), ports, (event, details) -> {}, JobObserver.none());
         dispatcher.report(FIRST, new AgentReport(List.of(), room(32)), 0);
         dispatcher.report(SECOND, new AgentReport(List.of(), room(32)), 0);
     }
--- a/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.SoonestEnd;
 import org.gypsumflow.control.SharedState;
 import org.gypsumflow.model.AvailabilityZone;
@@ -54,7 +55,8 @@
                 lane.time(),
                 SoonestEnd.rule(),
                 SharedState.create((event, details) -> {}),
-                (event, details) -> {});
+                (event, details) -> {},
+                JobObserver.none());
         entry.start();
         entry.connected(member(AGENT, Member.Role.AGENT), agent);
         entry.connected(member(PEER, Member.Role.ENTRY), peer);
