--- a/src/main/java/org/gypsumflow/daemon/AgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/AgentDaemon.java
@@ -88,6 +88,13 @@
         return telemetry.events();
     }
 
+    @Override
+    public String reload(SettingsReader reader) {
+        return DaemonSettings.read(reader).equals(settings)
+                ? "nothing differs"
+                : "they are correct, but take effect at the next start";
+    }
+
     @Override
     public void leave() {
         telemetry.events().write(Event.LEAVING, node.runningTasks());
--- a/src/main/java/org/gypsumflow/daemon/Daemon.java
+++ b/src/main/java/org/gypsumflow/daemon/Daemon.java
@@ -41,6 +41,15 @@
      */
     EventLog events();
 
+    /**
+     * Takes settings that were read again, as far as they can change while it runs.
+     *
+     * @param reader where the settings stand
+     * @return what changed, or that a restart is needed
+     * @throws org.gypsumflow.model.ValidationException if a setting is missing, wrong or unknown; nothing changes then
+     */
+    String reload(SettingsReader reader);
+
     /** Takes no new work, waits for what is in flight up to the drain limit, and stops. */
     void leave();
 
--- a/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchDaemon.java
@@ -37,6 +37,7 @@
     private static final long FLUSH_MILLIS = 100;
 
     private final DispatchSettings settings;
+    private volatile Duration grace;
     private final DispatchMetrics metrics = DispatchMetrics.create();
     private final EventLog events = metrics.counting(new TinyEventLog());
     private final List<ThreadLane> lanes = new ArrayList<>();
@@ -51,6 +52,7 @@
 
     DispatchDaemon(DispatchSettings settings, InetSocketAddress served) {
         this.settings = settings;
+        this.grace = settings.grace();
         this.transport = NettyTransport.create("netty", 1, events);
         this.control = lane("control");
         this.traffic = lane("traffic");
@@ -124,10 +126,20 @@
         return events;
     }
 
+    @Override
+    public String reload(SettingsReader reader) {
+        DispatchSettings fresh = DispatchSettings.read(reader);
+        grace = fresh.grace();
+        String changed = "the time to leave is " + grace.toSeconds() + " s";
+        return fresh.withGrace(settings.grace()).equals(settings)
+                ? changed
+                : changed + "; other values differ and take effect at the next start";
+    }
+
     @Override
     public void leave() {
         events.write(Event.LEAVING, "requests");
-        Duration limit = Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE));
+        Duration limit = Duration.ofMillis((long) (grace.toMillis() * GRACE_SHARE));
         try {
             try {
                 drain().get(limit.toMillis(), TimeUnit.MILLISECONDS);
--- a/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/DispatchSettings.java
@@ -70,6 +70,11 @@
         return settings;
     }
 
+    /** Returns the same settings with another grace time. */
+    DispatchSettings withGrace(Duration other) {
+        return new DispatchSettings(self, callers, readiness, reports, worker, store, metrics, other);
+    }
+
     private static InetSocketAddress address(SettingsReader reader, String name) {
         return address(name, reader.text(name));
     }
--- a/src/main/java/org/gypsumflow/daemon/EntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/EntryDaemon.java
@@ -77,6 +77,13 @@
         return telemetry.events();
     }
 
+    @Override
+    public String reload(SettingsReader reader) {
+        return DaemonSettings.read(reader).equals(settings)
+                ? "nothing differs"
+                : "they are correct, but take effect at the next start";
+    }
+
     @Override
     public void leave() {
         telemetry.events().write(Event.LEAVING, node.openSubmissions());
--- a/src/main/java/org/gypsumflow/daemon/Main.java
+++ b/src/main/java/org/gypsumflow/daemon/Main.java
@@ -64,29 +64,37 @@
         }
     }
 
-    private SettingsReader read() {
+    private Path file() {
         String variable = System.getenv(SETTINGS_VARIABLE);
         Check.isTrue(settings != null || variable != null, "--settings", "is missing, and so is " + SETTINGS_VARIABLE);
-        SettingsReader reader = SettingsReader.of(settings != null ? settings : Path.of(variable));
+        return settings != null ? settings : Path.of(variable);
+    }
+
+    private SettingsReader read() {
+        SettingsReader reader = SettingsReader.of(file());
         overrides.forEach(reader::override);
         return reader;
     }
 
-    /** The addresses and times of a running process stay; a file that cannot be used is told at once. */
+    /** A file that cannot be used changes nothing and is told at once. */
     private void reload(Daemon daemon) {
         try {
-            SettingsReader reader = read();
-            if (DispatchSettings.areIn(reader)) {
-                DispatchSettings.read(reader);
-            } else {
-                DaemonSettings.read(reader);
-            }
-            daemon.events().write(Event.SETTINGS_RELOADED, "no running value differs that can change");
+            daemon.events().write(Event.SETTINGS_RELOADED, daemon.reload(read()));
         } catch (ValidationException wrong) {
             daemon.events().write(Event.SETTINGS_RELOADED, "refused, the running settings stay: " + wrong.getMessage());
         }
     }
 
+    private void watch(Daemon daemon) {
+        SettingsWatch watch = SettingsWatch.of(file());
+        ThreadLane.create("settings", daemon.events()).every(SettingsWatch.PERIOD, () -> {
+            if (watch.hasChanged()) {
+                reload(daemon);
+            }
+            return true;
+        });
+    }
+
     // A hook is the only way to hear SIGTERM, and a plain process has no server that manages it.
     @SuppressWarnings("ShutdownHook")
     private <T> int serve(T checked, Function<T, Daemon> starter) {
@@ -101,6 +109,7 @@
             return EXIT_FAILED;
         }
         HangupSignal.onEach(() -> reload(daemon));
+        watch(daemon);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/src/test/java/org/gypsumflow/daemon/DispatchSettingsTest.java
+++ b/src/test/java/org/gypsumflow/daemon/DispatchSettingsTest.java
@@ -44,6 +44,13 @@
         assertFalse(DispatchSettings.areIn(SettingsReader.ofText("role = \"agent\"")));
     }
 
+    @Test
+    public void metricsAreServedOnlyWhereAnAddressIsGiven() {
+        assertTrue(read(AGENT).metrics().isEmpty());
+        DispatchSettings settings = read(AGENT + "\nmetrics-address = \"10.1.0.14:9464\"");
+        assertEquals(settings.metrics().orElseThrow().getPort(), 9464);
+    }
+
     @DataProvider
     public Object[][] wrong() {
         return new Object[][] {
