--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -243,6 +243,7 @@
             }
         }
         state.member = member;
+        dialing.remove(member.node());
         if (!dialed.contains(link)) {
             link.send(new Introduce(self, incarnation));
         }
@@ -256,8 +257,8 @@
             return;
         }
         control.whenDone(dialer.dial(member, this), (link, failure) -> {
-            dialing.remove(node);
             if (failure != null) {
+                dialing.remove(node);
                 redial(node);
                 return;
             }
@@ -265,7 +266,10 @@
             dialed.add(link);
             states.computeIfAbsent(link, created -> new State(time.nanos()));
             link.send(new Introduce(self, incarnation));
-            control.after(DispatchLimits.SILENCE, () -> dial(node));
+            control.after(DispatchLimits.SILENCE, () -> {
+                dialing.remove(node);
+                dial(node);
+            });
         });
     }
 
--- a/src/test/java/org/gypsumflow/traffic/ManualLane.java
+++ b/src/test/java/org/gypsumflow/control/ManualLane.java
@@ -1,13 +1,11 @@
-package org.gypsumflow.traffic;
+package org.gypsumflow.control;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.gypsumflow.control.Lane;
-import org.gypsumflow.control.TimeSource;
 
 /** Runs actions at once, and delayed ones when the test lets time pass. */
-final class ManualLane implements Lane {
+public final class ManualLane implements Lane {
     private record Later(long atMillis, Runnable action) {}
 
     private final List<Later> later = new ArrayList<>();
@@ -24,16 +22,16 @@
     }
 
     /** Tells the lane's own time. */
-    TimeSource time() {
+    public TimeSource time() {
         return new TimeSource(() -> Duration.ofMillis(nowMillis).toNanos(), () -> nowMillis);
     }
 
     /** Lets time pass without running what is due, as when a host is frozen. */
-    void standStill(long millis) {
+    public void standStill(long millis) {
         nowMillis += millis;
     }
 
-    void pass(long millis) {
+    public void pass(long millis) {
         long end = nowMillis + millis;
         while (nowMillis < end) {
             nowMillis++;
--- /dev/null
+++ b/src/test/java/org/gypsumflow/control/NodeLinksTest.java
@@ -0,0 +1,156 @@
+package org.gypsumflow.control;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.DispatchMessage;
+import org.gypsumflow.model.DispatchMessage.Heartbeat;
+import org.gypsumflow.model.DispatchMessage.Introduce;
+import org.gypsumflow.model.DispatchMessage.ShareState;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.Message;
+import org.gypsumflow.model.NodeName;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class NodeLinksTest {
+    private static final Member SELF = member("entry", Member.Role.ENTRY);
+    private static final Member AGENT = member("agent", Member.Role.AGENT);
+
+    /** A connection on which nothing comes back. */
+    private static final class SilentLink implements Link {
+        private boolean open = true;
+
+        @Override
+        public void send(Message message) {}
+
+        @Override
+        public void close() {
+            open = false;
+        }
+    }
+
+    private final class Listener implements NodeLinks.Listener {
+        @Override
+        public void connected(Member member, Link link) {
+            heard.add("connected");
+        }
+
+        @Override
+        public void lost(Member member, long heardNanos) {
+            heard.add("lost");
+        }
+
+        @Override
+        public void message(NodeName from, DispatchMessage message) {}
+
+        @Override
+        public void shared(NodeName from, ShareState state) {}
+    }
+
+    private final List<String> heard = new ArrayList<>();
+    private final List<SilentLink> opened = new ArrayList<>();
+    private ManualLane lane;
+    private NodeLinks links;
+    private boolean reachable;
+    private int dials;
+
+    private static Member member(String name, Member.Role role) {
+        return new Member(NodeName.of(name), role, AvailabilityZone.of("sofia"), "127.0.0.1", 1);
+    }
+
+    @BeforeMethod
+    public void startWithAMemberThatCanBeReached() {
+        heard.clear();
+        opened.clear();
+        dials = 0;
+        reachable = true;
+        lane = new ManualLane();
+        links = NodeLinks.create(
+                SELF,
+                Incarnation.fresh(),
+                lane,
+                lane.time(),
+                (to, listener) -> dial(),
+                new Listener(),
+                (event, details) -> {});
+        links.start();
+    }
+
+    private CompletableFuture<Link> dial() {
+        dials++;
+        if (!reachable) {
+            return CompletableFuture.failedFuture(new ConnectException("nobody listens"));
+        }
+        opened.add(new SilentLink());
+        return CompletableFuture.completedFuture(opened.get(opened.size() - 1));
+    }
+
+    private void introduce(int link) {
+        links.received(opened.get(link), new Introduce(AGENT, Incarnation.fresh()));
+    }
+
+    @Test
+    public void aMemberThatMakesItselfKnownTwiceIsDialedOnce() {
+        links.keep(AGENT);
+        links.keep(AGENT);
+        introduce(0);
+        links.keep(AGENT);
+        assertEquals(dials, 1);
+        assertEquals(heard, List.of("connected"));
+    }
+
+    @Test
+    public void aMemberThatMakesItselfKnownAgainIsDialedAtOnce() {
+        reachable = false;
+        links.keep(AGENT);
+        lane.pass(2000);
+        int before = dials;
+        reachable = true;
+        links.keep(AGENT);
+        assertEquals(dials, before + 1);
+    }
+
+    @Test
+    public void aMemberThatCannotBeReachedIsDialedLessAndLessOften() {
+        reachable = false;
+        links.keep(AGENT);
+        lane.pass(800);
+        assertEquals(dials, 4);
+        lane.pass(8000);
+        assertEquals(dials, 14);
+    }
+
+    @Test
+    public void aConnectionOnWhichNobodyAnswersIsReplaced() {
+        links.keep(AGENT);
+        lane.pass(1000);
+        assertEquals(opened.get(0).open, false);
+        assertEquals(dials, 2);
+    }
+
+    @Test
+    public void aSilentConnectionIsGivenUpAndOpenedAgain() {
+        links.keep(AGENT);
+        introduce(0);
+        lane.pass(900);
+        assertEquals(heard, List.of("connected", "lost"));
+        assertEquals(dials, 2);
+    }
+
+    @Test
+    public void heartbeatsKeepAConnection() {
+        links.keep(AGENT);
+        introduce(0);
+        for (int beat = 0; beat < 20; beat++) {
+            lane.pass(150);
+            links.received(opened.get(0), new Heartbeat(0));
+        }
+        assertEquals(heard, List.of("connected"));
+    }
+}
--- a/src/test/java/org/gypsumflow/traffic/DispatchAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/DispatchAgentTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.control.ManualLane;
 import org.gypsumflow.control.SharedState;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.DispatchMessage.AgentReport;
--- a/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/DispatchEntryTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.SoonestEnd;
+import org.gypsumflow.control.ManualLane;
 import org.gypsumflow.control.SharedState;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
