--- a/src/main/java/org/gypsumflow/bench/Rehearsal.java
+++ b/src/main/java/org/gypsumflow/bench/Rehearsal.java
@@ -1,10 +1,15 @@
 package org.gypsumflow.bench;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.gypsumflow.daemon.Daemon;
+import org.gypsumflow.daemon.Main;
 import org.gypsumflow.daemon.SettingsReader;
 import org.gypsumflow.standin.PlatformSite;
 import org.gypsumflow.standin.PlatformSite.Running;
@@ -28,10 +33,7 @@
      * @param arguments none are needed
      */
     public static void main(String[] arguments) {
-        PlatformSite site = PlatformSite.start(RUN_TIME, settings -> {
-            Daemon daemon = Daemon.start(SettingsReader.ofText(settings));
-            return new Running(daemon.httpPort(), daemon::abort);
-        });
+        PlatformSite site = PlatformSite.start(RUN_TIME, Rehearsal::start);
         site.putRoutes(1);
         site.report("ready").join();
         boolean ready = false;
@@ -49,6 +51,24 @@
         System.exit(answered == JOBS ? 0 : 1);
     }
 
+    private static Running start(String settings) {
+        checkAsAFile(settings);
+        Daemon daemon = Daemon.start(SettingsReader.ofText(settings));
+        return new Running(daemon.httpPort(), daemon::abort);
+    }
+
+    /** Goes through the command line too, whose classes belong into the archive as well. */
+    private static void checkAsAFile(String settings) {
+        try {
+            Path file = Files.createTempFile("rehearsal", ".toml");
+            Files.writeString(file, settings);
+            Main.check(file);
+            Files.delete(file);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     private static void after(Duration pause) {
         Executor later = CompletableFuture.delayedExecutor(pause.toMillis(), TimeUnit.MILLISECONDS);
         CompletableFuture.runAsync(() -> {}, later).join();
--- a/src/main/java/org/gypsumflow/daemon/Main.java
+++ b/src/main/java/org/gypsumflow/daemon/Main.java
@@ -46,6 +46,16 @@
         System.exit(new Main().run(arguments));
     }
 
+    /**
+     * Checks a settings file, as the option {@code --check} does.
+     *
+     * @param settings the file
+     * @return 0 if it can be used, 2 if a setting is missing, wrong or unknown
+     */
+    public static int check(Path settings) {
+        return new Main().run(new String[] {"--settings", settings.toString(), "--check"});
+    }
+
     private int run(String[] arguments) {
         CmdLineParser parser = new CmdLineParser(this);
         try {
