--- a/src/main/java/org/gypsumflow/command/DispatchLimits.java
+++ b/src/main/java/org/gypsumflow/command/DispatchLimits.java
@@ -5,11 +5,12 @@
 /**
  * Times that decide when work counts as lost and where it may go.
  *
- * <p>The inequality behind them: a task may start again elsewhere only when it can no longer run where it was. An agent
- * that hears nothing from an entry for {@link #SILENCE} stops that entry's tasks, which takes the worker
- * {@link #STOP_TIME}; an agent that stands still cannot renew the worker's lease, so that the worker ends the tasks
- * {@link #LEASE} after the last renewal, by a clock that may be slow by 2 %. Hence {@link #LOST_AFTER} is longer than
- * both sums, counted from the last message that the entry received.
+ * <p>The inequality behind them: a task may start again elsewhere only when it can no longer run where it was. Either side
+ * notices a silence of {@link #SILENCE} at the next look, {@link #HEARTBEAT} later at most. While only the way to the entry
+ * is cut, the agent hears the entry until the entry gives the connection up; if the other way is cut at that moment, the
+ * agent needs as long again, and then the worker {@link #STOP_TIME}. An agent that stands still cannot renew the worker's
+ * lease, so that the worker ends the tasks {@link #LEASE} after the last renewal, by a clock that may be slow by 2 %. Hence
+ * {@link #LOST_AFTER} is longer than both sums, counted from the last message that the entry received.
  */
 public final class DispatchLimits {
     /** Time between looks at the connections; four fit into the silence that ends one. */
@@ -23,7 +24,7 @@
     /** Longest time that a worker needs to stop a task; the platform's bound. */
     public static final Duration STOP_TIME = Duration.ofMillis(50);
     /** Silence of an agent after which its tasks have surely ended: silence on both sides, then the stop. */
-    public static final Duration LOST_AFTER = Duration.ofMillis(1300);
+    public static final Duration LOST_AFTER = Duration.ofMillis(1600);
     /** A process that did not run for this long may have been given up by all others; longer than a slow timer. */
     public static final Duration PAUSE = Duration.ofMillis(450);
     /** Time between an agent's unasked reports of its room while it changes; a trade of bytes against collisions. */
