--- a/src/main/java/org/gypsumflow/command/DispatchLimits.java
+++ b/src/main/java/org/gypsumflow/command/DispatchLimits.java
@@ -17,6 +17,10 @@
     public static final Duration HEARTBEAT = Duration.ofMillis(150);
     /** A connection that carried nothing for this long gets a heartbeat at the next look, at most 200 ms after the last. */
     public static final Duration HEARTBEAT_IF_QUIET = Duration.ofMillis(50);
+    /** The same for a process with many connections, which sends a heartbeat at every second look; two fit into the silence. */
+    public static final Duration HEARTBEAT_IF_QUIET_AMONG_MANY = Duration.ofMillis(200);
+    /** Number of connections from which a process has many: more than on the deployments of today. */
+    public static final int MANY_CONNECTIONS = 16;
     /** Silence after which a connection is taken to be dead; three heartbeats, so that one may be late. */
     public static final Duration SILENCE = Duration.ofMillis(600);
     /** How long a worker goes on without a renewal; below the platform's bound of one second on leases. */
--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -287,13 +287,16 @@
 
     private void watch() {
         long now = time.nanos();
+        long quiet = states.size() > DispatchLimits.MANY_CONNECTIONS
+                ? DispatchLimits.HEARTBEAT_IF_QUIET_AMONG_MANY.toNanos()
+                : DispatchLimits.HEARTBEAT_IF_QUIET.toNanos();
         states.forEach((link, state) -> {
             if (now - state.heardNanos > DispatchLimits.SILENCE.toNanos()) {
                 ended(
                         link,
                         "silent for " + Duration.ofNanos(now - state.heardNanos).toMillis() + " ms");
                 link.close();
-            } else if (state.member != null && now - state.sentNanos > DispatchLimits.HEARTBEAT_IF_QUIET.toNanos()) {
+            } else if (state.member != null && now - state.sentNanos > quiet) {
                 state.sentNanos = now;
                 link.send(new Heartbeat(now));
             }
