--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -24,6 +24,8 @@
 import org.gypsumflow.model.JobAnswer;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.NodeName;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.TaskName;
 
 /** The jobs of one entry: places their tasks, follows them, and answers whole or says what is known. */
@@ -44,10 +46,9 @@
 
     private final Map<JobId, JobRun> jobs = new HashMap<>();
     private final Map<JobId, JobRun> withoutRoom = new LinkedHashMap<>();
+    private final Map<ServiceName, Long> workersSeenNanos = new HashMap<>();
     private long triedNanos;
     private long newestNanos;
-    private long workersSeenNanos;
-    private boolean anyJob;
     private final WorkerBoard board;
     private final PlacementRule rule;
     private final JobPorts ports;
@@ -265,12 +266,12 @@
         }
         BestEffortJob job = run.job();
         boolean mayWait = mayWaitForRoom(run, nowNanos);
-        if (mayWait && isBehindOthers(run)) {
+        if (mayWait && !run.mayHaveRun() && isBehindOthers(run)) {
             withoutRoom.putIfAbsent(job.id(), run);
             return;
         }
         Collection<Candidate> candidates = board.candidates(job.route().service(), nowNanos);
-        boolean workersAreExpected = areWorkersExpected(candidates, nowNanos);
+        boolean workersAreExpected = areWorkersExpected(job.route().service(), candidates, nowNanos);
         Duration latest = run.uselessIn(nowNanos);
         Wanted wanted = new Wanted(
                 waiting.size(),
@@ -285,6 +286,8 @@
         if (!chosen.isEmpty()) {
             withoutRoom.remove(job.id());
             order(run, waiting, chosen, nowNanos);
+        } else if (isTooLarge(job, candidates)) {
+            giveUp(run, "no worker is large enough for a task of the job");
         } else if (mayWait && workersAreExpected) {
             withoutRoom.putIfAbsent(job.id(), run);
         } else {
@@ -292,26 +295,41 @@
         }
     }
 
-    /** A job of which nothing has started waits for room while enough of its slack is left to start and end in time. */
+    /**
+     * A job of which nothing has started waits for room while enough of its slack is left to start and end in time; what is
+     * left of one that has begun waits as long as its answer is worth anything, since a late answer is better than none.
+     */
     private static boolean mayWaitForRoom(JobRun run, long nowNanos) {
+        if (run.mayHaveRun()) {
+            return run.uselessIn(nowNanos).compareTo(run.job().estimate()) > 0;
+        }
         double slackAtFirst = run.slack(nowNanos).plus(run.age(nowNanos)).toNanos();
-        return !run.mayHaveRun() && run.slack(nowNanos).toNanos() > SLACK_KEPT * slackAtFirst;
+        return run.slack(nowNanos).toNanos() > SLACK_KEPT * slackAtFirst;
+    }
+
+    private static boolean isTooLarge(BestEffortJob job, Collection<Candidate> candidates) {
+        return !candidates.isEmpty()
+                && candidates.stream()
+                        .noneMatch(candidate -> candidate.room().capacity().holds(job.task()));
     }
 
     /** Workers that were there a moment ago, or may not have been found yet, are waited for; others are not. */
-    private boolean areWorkersExpected(Collection<Candidate> candidates, long nowNanos) {
-        if (!candidates.isEmpty() || !anyJob) {
-            anyJob = true;
-            workersSeenNanos = nowNanos;
+    private boolean areWorkersExpected(ServiceName service, Collection<Candidate> candidates, long nowNanos) {
+        long seenNanos = workersSeenNanos.computeIfAbsent(service, first -> nowNanos);
+        if (!candidates.isEmpty()) {
+            workersSeenNanos.put(service, nowNanos);
+            return true;
         }
-        return nowNanos - workersSeenNanos <= WORKERS_BACK_WITHIN.toNanos();
+        return nowNanos - seenNanos <= WORKERS_BACK_WITHIN.toNanos();
     }
 
     /** Room goes to the job that comes first by the operator's priorities, not to the one that happens to need less. */
     private boolean isBehindOthers(JobRun run) {
-        int priority = run.job().route().priority();
+        Route route = run.job().route();
         return withoutRoom.values().stream()
-                .anyMatch(other -> other.job().route().priority() < priority);
+                .filter(other -> !other.mayHaveRun())
+                .map(other -> other.job().route())
+                .anyMatch(other -> other.service().equals(route.service()) && other.priority() < route.priority());
     }
 
     private void tryAgain(long nowNanos) {
