--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -272,7 +272,6 @@
         }
         Collection<Candidate> candidates = board.candidates(job.route().service(), nowNanos);
         boolean workersAreExpected = areWorkersExpected(job.route().service(), candidates, nowNanos);
-        Duration latest = run.uselessIn(nowNanos);
         Wanted wanted = new Wanted(
                 waiting.size(),
                 job.task(),
@@ -280,7 +279,7 @@
                 job.route().stretch(),
                 run.allowanceLeft(nowNanos),
                 run.slack(nowNanos),
-                latest,
+                run.uselessIn(nowNanos),
                 run.mayHaveRun());
         List<Choice> chosen = rule.choose(wanted, candidates);
         if (!chosen.isEmpty()) {
--- a/src/main/java/org/gypsumflow/control/KeyedFollower.java
+++ b/src/main/java/org/gypsumflow/control/KeyedFollower.java
@@ -24,7 +24,6 @@
     private final EventLog events;
     private long next = -1;
     private boolean lost;
-    private boolean stopped;
 
     private KeyedFollower(
             KeyedLog log, String topic, Lane control, Consumer<Page> whole, Consumer<Page> changes, EventLog events) {
@@ -57,15 +56,7 @@
         control.execute(this::readWhole);
     }
 
-    /** Stops following. */
-    public void stop() {
-        stopped = true;
-    }
-
     private void readWhole() {
-        if (stopped) {
-            return;
-        }
         control.whenDone(log.newest(topic), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
@@ -80,9 +71,6 @@
     }
 
     private void readOn() {
-        if (stopped) {
-            return;
-        }
         control.whenDone(log.read(topic, next, LONG_READ), this::took);
     }
 
--- a/src/main/java/org/gypsumflow/control/NodeLinks.java
+++ b/src/main/java/org/gypsumflow/control/NodeLinks.java
@@ -186,15 +186,6 @@
         dial(member.node());
     }
 
-    /**
-     * Gives up the connection to a member; called on the control lane.
-     *
-     * @param node whom to forget
-     */
-    public void forget(NodeName node) {
-        toDial.remove(node);
-    }
-
     /**
      * Returns the connections to all processes in touch; called on the control lane.
      *
