Log on what evidence a run counts as lost and that its task is queued again

The logs of the incident show that a task was lost, not why: a lease taken for expired, a failed connection taken for the end of the worker, and a listing without the run all look the same. GF619 names the evidence with the age of the last response and of the last request with a lease, GF620 a run that the worker lists and its agent does not track, GF621 the run that an entry queues instead. Volume: one line for each piece of evidence, and the existing bound on lines a second. No decision is changed.

--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -207,14 +207,14 @@
         tasks[index].reassignAtNanos = reassignAtNanos;
     }
 
-    /** Requeues tasks of disconnected agents that can no longer run there; returns whether there were any. */
-    boolean requeueUnknown(long nowNanos) {
-        boolean requeued = false;
+    /** Requeues tasks of disconnected agents that can no longer run there; returns them with their agents, by index. */
+    Map<Integer, MemberName> requeueUnknown(long nowNanos) {
+        Map<Integer, MemberName> requeued = new TreeMap<>();
         for (int index = 0; index < tasks.length; index++) {
             Task task = tasks[index];
             if (task.state == AssignmentState.UNKNOWN && nowNanos - task.reassignAtNanos >= 0) {
+                requeued.put(index, task.agent);
                 requeue(index);
-                requeued = true;
             }
         }
         return requeued;
--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -180,11 +180,13 @@
      * Records that the worker process has exited: its runs are lost, and waiting tasks go back to their entries.
      *
      * @param nowNanos current monotonic time
+     * @return number of runs that are lost
      */
-    public void workerExited(long nowNanos) {
+    public int workerExited(long nowNanos) {
         reachable = false;
-        markRunsLost(nowNanos);
+        int lostRuns = markRunsLost(nowNanos);
         returnWaiting(tracked -> true, nowNanos);
+        return lostRuns;
     }
 
     /**
@@ -192,9 +194,10 @@
      * lost.
      *
      * @param nowNanos current monotonic time
+     * @return number of runs that are lost
      */
-    public void leaseExpired(long nowNanos) {
-        markRunsLost(nowNanos);
+    public int leaseExpired(long nowNanos) {
+        return markRunsLost(nowNanos);
     }
 
     /**
@@ -291,11 +294,11 @@
      *
      * @param workerId id of the worker
      * @param nowNanos current monotonic time
+     * @return number of runs that are lost
      */
-    public void workerDeregistered(String workerId, long nowNanos) {
-        if (worker != null && worker.worker().equals(workerId)) {
-            workerExited(nowNanos);
-        }
+    public int workerDeregistered(String workerId, long nowNanos) {
+        boolean present = worker != null && worker.worker().equals(workerId);
+        return present ? workerExited(nowNanos) : 0;
     }
 
     /**
@@ -376,15 +379,19 @@
      * @param listedTasks tasks that the listing contains, running or finished
      * @param requestedNanos monotonic time at which the listing was requested
      * @param nowNanos current monotonic time
+     * @return number of runs that are lost
      */
-    public void reconcile(Set<BestEffortTaskId> listedTasks, long requestedNanos, long nowNanos) {
+    public int reconcile(Set<BestEffortTaskId> listedTasks, long requestedNanos, long nowNanos) {
+        int lostRuns = 0;
         for (TrackedAssignment tracked : List.copyOf(assignments.values())) {
             boolean expected =
                     tracked.occupiesWorker() && tracked.confirmed && tracked.confirmedNanos - requestedNanos < 0;
             if (expected && !listedTasks.contains(tracked.assignment.task())) {
                 finish(tracked, RunOutcome.LOST, nowNanos);
+                lostRuns++;
             }
         }
+        return lostRuns;
     }
 
     /**
@@ -593,14 +600,17 @@
         startWaitingThatFit(nowNanos);
     }
 
-    private void markRunsLost(long nowNanos) {
+    private int markRunsLost(long nowNanos) {
+        int lostRuns = 0;
         for (TrackedAssignment tracked : List.copyOf(assignments.values())) {
             if (tracked.occupiesWorker()) {
                 assignments.remove(tracked.assignment.task());
                 Duration runDuration = Duration.ofNanos(nowNanos - tracked.startedNanos);
                 addResult(tracked, RunOutcome.LOST, runDuration);
+                lostRuns++;
             }
         }
+        return lostRuns;
     }
 
     private void returnWaiting(Predicate<TrackedAssignment> which, long nowNanos) {
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -26,6 +26,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
 
 /**
@@ -210,12 +211,20 @@
         for (ActiveJob activeJob : List.copyOf(jobs.values())) {
             if (nowNanos - activeJob.deadlineNanos() >= 0) {
                 abandon(activeJob, "the caller's deadline has passed");
-            } else if (activeJob.requeueUnknown(nowNanos)) {
-                place(activeJob, nowNanos);
+            } else {
+                requeueUnknown(activeJob, nowNanos);
             }
         }
     }
 
+    private void requeueUnknown(ActiveJob activeJob, long nowNanos) {
+        Map<Integer, MemberName> requeued = activeJob.requeueUnknown(nowNanos);
+        requeued.forEach((index, agent) -> logRequeued(activeJob, index, agent, "not confirmed, the agent is lost"));
+        if (!requeued.isEmpty()) {
+            place(activeJob, nowNanos);
+        }
+    }
+
     /**
      * Abandons all jobs, since this process was paused and other entries may have taken them over.
      *
@@ -238,6 +247,10 @@
             case LOST -> activeJob.recordLost(index);
             case NOT_STARTED -> activeJob.recordNotStarted(index);
         }
+        boolean ended = result.outcome() == RunOutcome.FAILED || result.outcome() == RunOutcome.LOST;
+        if (ended && jobs.containsKey(activeJob.job().id())) {
+            logRequeued(activeJob, index, agent, result.outcome());
+        }
         if (activeJob.isComplete()) {
             capacityTracker.recordCompletedJob(
                     activeJob.completedRuns(), activeJob.job().estimate(), nowNanos);
@@ -247,6 +260,15 @@
         return Optional.of(activeJob);
     }
 
+    private void logRequeued(ActiveJob activeJob, int index, MemberName agent, Object cause) {
+        events.write(
+                Event.TASK_REQUEUED,
+                BestEffortTaskId.of(activeJob.job().id(), index),
+                activeJob.runNumber(index).value(),
+                agent,
+                cause);
+    }
+
     private void logCompletion(ActiveJob activeJob, long nowNanos) {
         List<Sample> runs = activeJob.completedRuns();
         Sample slowest =
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -69,6 +69,16 @@
             Level.INFO,
             "job {} of route {} (routes of version {}) completed after {} ms, {} tasks with estimate {} ms in {}"
                     + " assignments on {} workers, longest run {} ms on {}"),
+    /** Runs at a worker were counted as lost, so that their tasks start elsewhere. */
+    RUNS_LOST(
+            619,
+            Level.WARN,
+            "counted {} runs at the worker as lost: {}; last response {} ms ago, last request with a lease {} ms ago"),
+    /** A worker listed a run that its agent does not track, and was told to stop it. */
+    UNTRACKED_RUN_STOPPED(
+            620, Level.WARN, "stopped task {} run {}, which the worker lists and this agent does not track"),
+    /** An entry queued a task for another run, since the previous one ended without success. */
+    TASK_REQUEUED(621, Level.INFO, "task {} is queued for run {}: the previous run at {} was {}"),
     /** A worker rejected the start of a task. */
     START_REJECTED(602, Level.WARN, "worker rejected task {} run {}: {}"),
     /** A worker does not respond. */
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -165,8 +165,7 @@
      */
     public void workerLeft(String worker) {
         executor.execute(() -> {
-            scheduler.workerDeregistered(worker, time.nanoTime());
-            workerSession.executeActions();
+            workerSession.workerDeregistered(worker);
         });
     }
 
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -62,6 +62,7 @@
     private boolean renewalPending;
     private boolean unresponsive;
     private long lastResponseNanos;
+    private long lastLeaseRequestNanos;
 
     /**
      * Creates a session without a worker.
@@ -90,8 +91,10 @@
 
     /** Applies a worker's report; a new incarnation of the worker is asked for its task listing immediately. */
     void workerReported(WorkerReport report) {
+        int runsBefore = scheduler.activeRunCount();
         boolean newIncarnation = scheduler.workerReported(report, time.nanoTime());
         if (newIncarnation) {
+            logLostRuns(runsBefore, "the worker was replaced by another incarnation");
             workerStartedAtMillis = report.startedAtMillis();
             clockKnown = false;
             acknowledgedThrough = 0;
@@ -108,6 +111,12 @@
         executeActions();
     }
 
+    /** Records that a worker deregistered; its runs are lost if it is the present worker. */
+    void workerDeregistered(String worker) {
+        logLostRuns(scheduler.workerDeregistered(worker, time.nanoTime()), "the worker deregistered");
+        executeActions();
+    }
+
     /**
      * Executes the actions that the scheduler has decided on since the last call, then renews the lease if necessary.
      */
@@ -129,6 +138,7 @@
             return;
         }
         long startedAtMillis = workerStartedAtMillis;
+        lastLeaseRequestNanos = time.nanoTime();
         executor.whenDone(
                 client.start(run.task(), run.number(), run.specification(), leaseUntilMillis(), fencingToken),
                 (response, failure) ->
@@ -159,7 +169,7 @@
     private void startFailed(TaskRun run, Throwable failure) {
         if (isConnectFailure(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a start", failure);
-            scheduler.workerExited(time.nanoTime());
+            workerExited("a start could not connect");
             return;
         }
         callFailed("a start", failure);
@@ -179,7 +189,7 @@
             return;
         }
         if (isConnectFailure(failure)) {
-            scheduler.workerExited(time.nanoTime());
+            workerExited("a stop could not connect");
             return;
         }
         callFailed("a stop", failure);
@@ -205,6 +215,7 @@
                 mayWait ? MAX_LISTING_DELAY : Duration.ZERO);
         long startedAtMillis = workerStartedAtMillis;
         long requestedNanos = time.nanoTime();
+        lastLeaseRequestNanos = clockKnown ? requestedNanos : lastLeaseRequestNanos;
         renewalDue = false;
         executor.whenDone(
                 client.renew(renewal),
@@ -227,7 +238,7 @@
         }
         if (isConnectFailure(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a renewal", failure);
-            scheduler.workerExited(time.nanoTime());
+            workerExited("a renewal could not connect");
             unresponsive = false;
             executeActions();
             return;
@@ -238,7 +249,7 @@
                 (long) (BestEffortTimings.LEASE_DURATION.toMillis() * MAX_CLOCK_DRIFT));
         if (time.nanoTime() - lastResponseNanos
                 > leaseWithDrift.plus(BestEffortTimings.MAX_STOP_TIME).toNanos()) {
-            scheduler.leaseExpired(time.nanoTime());
+            logLostRuns(scheduler.leaseExpired(time.nanoTime()), "the lease expired");
         }
         executor.schedule(RETRY_DELAY, this::executeActions);
     }
@@ -258,10 +269,33 @@
         for (RunningTask running : listing.running()) {
             listed.add(running.task());
             if (!scheduler.runProgressed(running.task(), running.runNumber(), running.percentDone(), now)) {
+                events.write(
+                        Event.UNTRACKED_RUN_STOPPED,
+                        running.task(),
+                        running.runNumber().value());
                 stop(new TaskRun(running.task(), running.runNumber(), ""));
             }
         }
-        scheduler.reconcile(listed, requestedNanos, now);
+        logLostRuns(scheduler.reconcile(listed, requestedNanos, now), "the worker does not list them");
+    }
+
+    private void workerExited(String evidence) {
+        logLostRuns(scheduler.workerExited(time.nanoTime()), evidence);
+    }
+
+    private void logLostRuns(int runs, String evidence) {
+        if (runs > 0) {
+            events.write(
+                    Event.RUNS_LOST,
+                    runs,
+                    evidence,
+                    millisSince(lastResponseNanos),
+                    millisSince(lastLeaseRequestNanos));
+        }
+    }
+
+    private long millisSince(long nanos) {
+        return Duration.ofNanos(time.nanoTime() - nanos).toMillis();
     }
 
     private void runIfSameIncarnation(long startedAtMillis, Runnable action) {
