--- /dev/null
+++ b/src/test/java/org/gypsumflow/world/BestEffortInvariants.java
@@ -0,0 +1,65 @@
+package org.gypsumflow.world;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.world.BestEffortSimulation.Attempt;
+import org.gypsumflow.world.FakeWorker.Run;
+
+/** Checks the promises about best-effort jobs on a finished history and lists the violations. */
+final class BestEffortInvariants {
+    private final BestEffortHistory history;
+    private final List<String> violations = new ArrayList<>();
+
+    private BestEffortInvariants(BestEffortHistory history) {
+        this.history = history;
+    }
+
+    static List<String> violations(BestEffortHistory history) {
+        BestEffortInvariants invariants = new BestEffortInvariants(history);
+        invariants.checkNoTwoRunsAtTheSameTime();
+        invariants.checkRecovery();
+        invariants.checkRejectedJobsNeverRun();
+        return invariants.violations;
+    }
+
+    private void report(String violation) {
+        violations.add("seed " + history.seed() + ": " + violation);
+    }
+
+    private void checkNoTwoRunsAtTheSameTime() {
+        Map<BestEffortTaskId, List<Run>> runsByTask = new HashMap<>();
+        for (Run run : history.simulation().runs) {
+            List<Run> earlierRuns = runsByTask.computeIfAbsent(run.task, task -> new ArrayList<>());
+            for (Run earlier : earlierRuns) {
+                if (earlier.overlaps(run)) {
+                    report("two runs at the same time: " + earlier + "; " + run);
+                }
+            }
+            earlierRuns.add(run);
+        }
+    }
+
+    private void checkRecovery() {
+        for (Attempt probe : history.probes()) {
+            if (!probe.isCompleted()) {
+                report("not completed " + BestEffortHistory.RECOVERY_BOUND.toSeconds() + " s after the last fault at "
+                        + BestEffortSimulation.seconds(history.lastFaultNanos()) + ": " + probe);
+            }
+        }
+    }
+
+    /** Each start needs an attempt that was sent before it and is not rejected, neither before nor after the start. */
+    private void checkRejectedJobsNeverRun() {
+        for (Run run : history.simulation().runs) {
+            List<Attempt> sentBefore = history.simulation().attempts.stream()
+                    .filter(attempt -> attempt.job.id().equals(run.task.job()) && attempt.sentNanos <= run.startedNanos)
+                    .toList();
+            if (sentBefore.stream().allMatch(Attempt::isRejected)) {
+                report("a rejected job ran: " + sentBefore + "; " + run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -0,0 +1,357 @@
+package org.gypsumflow.world;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.EarliestFinishPlacement;
+import org.gypsumflow.command.JobObserver;
+import org.gypsumflow.control.Connection;
+import org.gypsumflow.control.ConnectionManager;
+import org.gypsumflow.control.RoutingStateCache;
+import org.gypsumflow.control.SerialExecutor;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.BestEffortMessage;
+import org.gypsumflow.model.BestEffortMessage.AbandonJob;
+import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
+import org.gypsumflow.model.BestEffortOutcome;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.Member;
+import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.Message;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Verdict;
+import org.gypsumflow.traffic.BestEffortAgent;
+import org.gypsumflow.traffic.BestEffortEntry;
+
+/** Entries, agents, workers and callers of best-effort jobs, on one virtual clock. */
+final class BestEffortSimulation {
+    private static final int NANOS_PER_MICRO = 1000;
+
+    /** An entry on its host; the process and the instance change when it restarts. */
+    static final class EntryHost {
+        final Member member;
+        final MemberProcess.WallClock wallClock;
+        MemberProcess process;
+        private BestEffortEntry instance;
+        private ConnectionManager connections;
+        private SerialExecutor control;
+
+        private EntryHost(Member member, MemberProcess.WallClock wallClock) {
+            this.member = member;
+            this.wallClock = wallClock;
+        }
+    }
+
+    /** An agent on its host with its worker; the process and the instance change when it restarts. */
+    static final class AgentHost {
+        final Member member;
+        final MemberProcess.WallClock wallClock;
+        final FakeWorkerHost worker;
+        MemberProcess process;
+
+        private AgentHost(Member member, MemberProcess.WallClock wallClock, FakeWorkerHost worker) {
+            this.member = member;
+            this.wallClock = wallClock;
+            this.worker = worker;
+        }
+    }
+
+    /** One request of a caller with a job, and what became of it. */
+    static final class Attempt {
+        final BestEffortJob job;
+        final String entry;
+        final long sentNanos;
+        final CompletableFuture<Void> disconnected = new CompletableFuture<>();
+        /** Completes when the caller has the response; exceptionally when its connection broke before. */
+        final CompletableFuture<BestEffortOutcome> response = new CompletableFuture<>();
+
+        private final MemberProcess process;
+        BestEffortOutcome decided;
+        long decidedNanos;
+
+        private Attempt(BestEffortJob job, EntryHost entry, long sentNanos) {
+            this.job = job;
+            this.entry = entry.member.name().value();
+            this.process = entry.process;
+            this.sentNanos = sentNanos;
+        }
+
+        boolean isRejected() {
+            return decided != null && decided.verdict() == Verdict.NOT_RUN;
+        }
+
+        boolean isCompleted() {
+            return decided != null && decided.verdict() == Verdict.COMPLETED;
+        }
+
+        @Override
+        public String toString() {
+            String result =
+                    decided == null ? "no outcome" : decided + " at " + BestEffortSimulation.seconds(decidedNanos);
+            return "job " + job.id() + " sent to " + entry + " at " + BestEffortSimulation.seconds(sentNanos) + ": "
+                    + result;
+        }
+    }
+
+    /**
+     * Completes a handover after its timeout, which the entry measures with a timer of the JDK: that one runs on real
+     * time, and the simulation ignores it.
+     */
+    private final class HandoverTimeouts implements ConnectionManager.MemberListener {
+        private final ConnectionManager.MemberListener entry;
+        private final SerialExecutor executor;
+        private final Set<JobId> pending = new HashSet<>();
+
+        private HandoverTimeouts(ConnectionManager.MemberListener entry, SerialExecutor executor) {
+            this.entry = entry;
+            this.executor = executor;
+        }
+
+        @Override
+        public void memberConnected(Member member, Connection connection) {
+            entry.memberConnected(member, new Connection() {
+                @Override
+                public void send(Message message) {
+                    connection.send(message);
+                    if (message instanceof AbandonJob request && !request.cancelled() && pending.add(request.job())) {
+                        executor.schedule(BestEffortTimings.HEARTBEAT_TIMEOUT, () -> {
+                            if (pending.remove(request.job())) {
+                                entry.jobMessageReceived(member.name(), new JobAbandoned(request.job(), true));
+                            }
+                        });
+                    }
+                }
+
+                @Override
+                public void close() {
+                    connection.close();
+                }
+            });
+        }
+
+        @Override
+        public void memberDisconnected(Member member, long lastReceivedNanos) {
+            entry.memberDisconnected(member, lastReceivedNanos);
+        }
+
+        @Override
+        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {
+            if (message instanceof JobAbandoned abandoned) {
+                pending.remove(abandoned.job());
+            }
+            entry.jobMessageReceived(sender, message);
+        }
+
+        @Override
+        public void routingStateReceived(MemberName sender, ShareRoutingState state) {
+            entry.routingStateReceived(sender, state);
+        }
+    }
+
+    final VirtualClock clock = new VirtualClock();
+    final MemberNetwork network;
+    final List<FakeWorker.Run> runs = new ArrayList<>();
+    final List<Attempt> attempts = new ArrayList<>();
+    final Map<String, EntryHost> entries = new TreeMap<>();
+    final Map<String, AgentHost> agents = new TreeMap<>();
+    final List<String> traceLines = new ArrayList<>();
+    private final Random random;
+    private final boolean traced;
+    private int incarnationCount;
+
+    BestEffortSimulation(long seed, boolean traced) {
+        this.random = new Random(seed);
+        this.network = new MemberNetwork(clock, random);
+        this.traced = traced;
+    }
+
+    static String seconds(long nanos) {
+        return String.format(Locale.ROOT, "%.4f s", nanos / 1e9);
+    }
+
+    void trace(String line) {
+        if (traced) {
+            traceLines.add(seconds(clock.nanos()) + "  " + line);
+        }
+    }
+
+    EntryHost addEntry(String name, String zone) {
+        EntryHost host = new EntryHost(member(name, Member.Role.ENTRY, zone), new MemberProcess.WallClock(clock));
+        entries.put(name, host);
+        start(host);
+        return host;
+    }
+
+    AgentHost addAgent(String name, String zone, Resources capacity) {
+        FakeWorkerHost worker =
+                new FakeWorkerHost(clock, random, name, AvailabilityZone.of(zone), capacity, runs, this::trace);
+        AgentHost host =
+                new AgentHost(member(name, Member.Role.AGENT, zone), new MemberProcess.WallClock(clock), worker);
+        agents.put(name, host);
+        start(host);
+        clock.schedule(Duration.ofMillis(random.nextInt(500)), worker::startWorker);
+        return host;
+    }
+
+    private static Member member(String name, Member.Role role, String zone) {
+        return new Member(MemberName.of(name), role, AvailabilityZone.of(zone), "127.0.0.1", 1);
+    }
+
+    void start(EntryHost host) {
+        trace("start of " + host.member.name());
+        MemberProcess process = new MemberProcess(
+                clock, random, host.wallClock, host.member.name().value());
+        EventLog events = eventsOf(host.member);
+        SerialExecutor control = process.newControlExecutor();
+        SerialExecutor traffic = process.newTrafficExecutor();
+        host.process = process;
+        host.control = control;
+        host.instance = BestEffortEntry.create(
+                traffic,
+                process.timeSource(),
+                EarliestFinishPlacement.policy(),
+                RoutingStateCache.create(events),
+                events,
+                JobObserver.none());
+        host.connections = ConnectionManager.create(
+                host.member,
+                nextIncarnation(host.member),
+                control,
+                process.timeSource(),
+                network.connectorOf(process),
+                new HandoverTimeouts(host.instance, traffic),
+                events);
+        network.listen(host.member.name(), process, host.connections);
+        host.connections.start();
+        host.instance.start();
+        agents.values().forEach(agent -> announce(agent.member, host));
+        entries.values().forEach(peer -> announceToEachOther(host, peer));
+    }
+
+    void start(AgentHost host) {
+        trace("start of " + host.member.name());
+        MemberProcess process = new MemberProcess(
+                clock, random, host.wallClock, host.member.name().value());
+        EventLog events = eventsOf(host.member);
+        host.process = process;
+        BestEffortAgent agent = BestEffortAgent.create(
+                process.newTrafficExecutor(),
+                process.timeSource(),
+                host.worker.clientOf(process),
+                RoutingStateCache.create(events),
+                events);
+        host.worker.setAgent(process, agent);
+        ConnectionManager connections = ConnectionManager.create(
+                host.member,
+                nextIncarnation(host.member),
+                process.newControlExecutor(),
+                process.timeSource(),
+                network.connectorOf(process),
+                agent,
+                events);
+        network.listen(host.member.name(), process, connections);
+        connections.start();
+        agent.start();
+        entries.values().forEach(entry -> announce(host.member, entry));
+    }
+
+    /** Entries connect to agents, and to those entries whose names sort after their own. */
+    private void announceToEachOther(EntryHost left, EntryHost right) {
+        int order = left.member.name().compareTo(right.member.name());
+        if (order < 0) {
+            announce(right.member, left);
+        } else if (order > 0) {
+            announce(left.member, right);
+        }
+    }
+
+    /** The address of a member reaches an entry through the store. */
+    private void announce(Member member, EntryHost receiver) {
+        ConnectionManager connections = receiver.connections;
+        SerialExecutor control = receiver.control;
+        clock.schedule(
+                Duration.ofMillis(10 + random.nextInt(300)),
+                () -> control.execute(() -> connections.maintainConnection(member)));
+    }
+
+    private Incarnation nextIncarnation(Member member) {
+        return Incarnation.of(member.name() + "-life-" + incarnationCount++);
+    }
+
+    private EventLog eventsOf(Member member) {
+        return (event, details) -> trace(member.name() + ": " + event + " " + Arrays.toString(details));
+    }
+
+    /** Kills an entry; its peers and callers see their connections close, or hear nothing any more. */
+    void kill(EntryHost host, boolean silently) {
+        trace("kill of " + host.member.name() + (silently ? ", silently" : ""));
+        host.process.kill();
+        network.processDied(host.process, silently);
+        if (!silently) {
+            attempts.stream().filter(attempt -> attempt.process == host.process).forEach(this::breakConnection);
+        }
+    }
+
+    void kill(AgentHost host, boolean silently) {
+        trace("kill of " + host.member.name() + (silently ? ", silently" : ""));
+        host.process.kill();
+        network.processDied(host.process, silently);
+    }
+
+    /** Lets the caller see that its connection broke. */
+    void breakConnection(Attempt attempt) {
+        clock.schedule(
+                latency(),
+                () -> attempt.response.completeExceptionally(new IllegalStateException("the connection was closed")));
+    }
+
+    /** Lets the entry see that the caller has closed its connection. */
+    void disconnect(Attempt attempt, Duration delay) {
+        clock.schedule(delay.plus(latency()), () -> attempt.process.run(() -> attempt.disconnected.complete(null)));
+    }
+
+    /** Sends a job to an entry that is not dead. */
+    Attempt submit(EntryHost host, BestEffortJob job, Duration timeLeft) {
+        Attempt attempt = new Attempt(job, host, clock.nanos());
+        attempts.add(attempt);
+        trace("job " + job.id() + " with " + job.taskCount() + " tasks is sent to " + attempt.entry);
+        BestEffortEntry instance = host.instance;
+        clock.schedule(
+                latency(),
+                () -> attempt.process.run(() -> instance.submit(job, timeLeft, attempt.disconnected)
+                        .thenAccept(outcome -> decided(attempt, outcome))));
+        return attempt;
+    }
+
+    private void decided(Attempt attempt, BestEffortOutcome outcome) {
+        attempt.decided = outcome;
+        attempt.decidedNanos = clock.nanos();
+        trace("outcome of " + attempt);
+        clock.schedule(latency(), () -> attempt.response.complete(outcome));
+    }
+
+    /** Sends a cancellation of a job to an entry that is not dead. */
+    void cancel(EntryHost host, JobId job) {
+        trace("job " + job + " is cancelled at " + host.member.name());
+        BestEffortEntry instance = host.instance;
+        MemberProcess process = host.process;
+        clock.schedule(latency(), () -> process.run(() -> instance.cancel(job)));
+    }
+
+    private Duration latency() {
+        return Duration.ofNanos((200L + random.nextInt(800)) * NANOS_PER_MICRO);
+    }
+}
