--- a/src/test/java/org/gypsumflow/world/FakeWorker.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorker.java
@@ -25,8 +25,8 @@
  * One incarnation of a worker, which treats calls as the platform's page on its protocol says.
  *
  * <p>Where the page leaves a choice, the worker takes the one that is easier on its agent: the lease ends runs at its
- * expiry even while the worker is frozen, a renewal is answered at once while an end is unacknowledged, and a run number
- * lower than that of a run that is there is rejected.
+ * expiry even while the worker is frozen, a renewal is answered at once while an end is unacknowledged, a run number
+ * lower than that of a run that is there is rejected, and a higher one finds no room until that run has ended.
  */
 final class FakeWorker {
     /** The longest lease that the worker grants. */
