Raise the fencing token after a call that the worker left unanswered

With a higher token in each call after an unanswered one, the worker rejects the late call as soon as it has accepted any later call.

On the way: a stop or a renewal that the worker fences was repeated with the same token for ever, so that an agent that was restarted after the wall clock of its host was set back never got its worker back. FencedException tells them apart, and the token then rises by an hour as it does for starts.

--- a/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
+++ b/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.gypsumflow.http.HttpClient;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.gypsumflow.model.BestEffortTaskId;
@@ -69,7 +70,8 @@
     public CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber runNumber, long fencingToken) {
         Map<String, Object> body = Map.of(
                 "task", BestEffortTaskIdFormat.format(task), "run", runNumber.value(), "fencingToken", fencingToken);
-        return post("/run-stop", body, RESPONSE_TIMEOUT).thenAccept(response -> requireOk(response, "stop request"));
+        return post("/run-stop", body, RESPONSE_TIMEOUT)
+                .thenAccept(response -> requireAccepted(response, "stop request"));
     }
 
     @Override
@@ -84,7 +86,7 @@
             body.put("waitMs", renewal.maxWait().toMillis());
         }
         return post("/hold", body, RESPONSE_TIMEOUT.plus(renewal.maxWait())).thenApply(response -> {
-            requireOk(response, "lease renewal");
+            requireAccepted(response, "lease renewal");
             return parseTaskListing(Json.parseObject(response.body()));
         });
     }
@@ -149,7 +151,10 @@
         };
     }
 
-    private static void requireOk(ClientResponse response, String request) {
+    private static void requireAccepted(ClientResponse response, String request) {
+        if (response.status() == CONFLICT && parseStartResponse(response).status() == StartStatus.FENCED) {
+            throw new CompletionException(new FencedException());
+        }
         Check.isTrue(response.status() == OK, request, "got HTTP status " + response.status());
     }
 
--- a/src/main/java/org/gypsumflow/traffic/WorkerClient.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerClient.java
@@ -13,6 +13,16 @@
  * <p>A call whose future fails may still be executed later, unless it fails with a {@link java.net.ConnectException}.
  */
 public interface WorkerClient {
+    /** Failure of a stop or a renewal that the worker rejected because it has seen a higher fencing token. */
+    final class FencedException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        /** Creates the failure. */
+        public FencedException() {
+            super("the worker has seen a higher fencing token");
+        }
+    }
+
     /**
      * Starts a run of a task.
      *
@@ -34,7 +44,8 @@
      * @param run number of the run
      * @param fencingToken fencing token of this agent incarnation; the worker rejects a token lower than the highest
      *     seen
-     * @return completes when the worker has acknowledged the stop
+     * @return completes when the worker has acknowledged the stop; fails with {@link FencedException} if the token is
+     *     too low
      */
     CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken);
 
@@ -42,7 +53,8 @@
      * Renews the lease of all runs and lists them.
      *
      * @param renewal lease, acknowledgement, and how long the worker may wait for a run to finish before it responds
-     * @return the running tasks, and the finished ones that were not acknowledged
+     * @return the running tasks, and the finished ones that were not acknowledged; fails with {@link FencedException}
+     *     if the token is too low
      */
     CompletableFuture<TaskListing> renew(LeaseRenewal renewal);
 }
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -335,7 +335,12 @@
         }
     }
 
+    /**
+     * Records a call without a usable response. The worker may carry it out later, so the fencing token rises: as soon
+     * as the worker has accepted a later call, it rejects this one.
+     */
     private void callFailed(String call, Throwable failure) {
+        fencingToken += isFenced(failure) ? FENCING_TOKEN_STEP_MILLIS : 1;
         if (!unresponsive) {
             unresponsive = true;
             events.write(Event.WORKER_UNRESPONSIVE, call, failure);
@@ -343,6 +348,11 @@
         }
     }
 
+    private static boolean isFenced(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof WorkerClient.FencedException;
+    }
+
     private static boolean isConnectFailure(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException;
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -43,12 +43,15 @@
     /** A worker that starts every task, unless its connections are closed, and lists its tasks when the test says so. */
     private static final class ManualWorker implements WorkerClient {
         private CompletableFuture<TaskListing> renewal = new CompletableFuture<>();
+        private final List<Long> startTokens = new ArrayList<>();
+        private final List<Long> stopTokens = new ArrayList<>();
         private final List<LeaseRenewal> renewals = new ArrayList<>();
         private boolean closesConnections;
 
         @Override
         public CompletableFuture<StartResponse> start(
                 BestEffortTaskId task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
+            startTokens.add(fencingToken);
             return closesConnections
                     ? CompletableFuture.failedFuture(new IOException("the connection was closed"))
                     : CompletableFuture.completedFuture(new StartResponse(StartStatus.STARTED, 0));
@@ -56,6 +59,7 @@
 
         @Override
         public CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken) {
+            stopTokens.add(fencingToken);
             return CompletableFuture.completedFuture(null);
         }
 
@@ -167,6 +171,26 @@
         assertEquals(reportedOutcomes(), List.of(RunOutcome.LOST));
     }
 
+    // Guards against two runs of one task: a worker carries out a start late, after its task has started elsewhere.
+    @Test
+    public void aStartWithoutResponseIsFencedByTheStopThatFollows() {
+        worker.closesConnections = true;
+        assignTask();
+        assertTrue(worker.stopTokens.get(0) > worker.startTokens.get(0));
+    }
+
+    // Guards against an agent that never gets its worker back after the wall clock of its host was set back.
+    @Test
+    public void aRenewalThatTheWorkerFencesIsSentAgainWithAHigherToken() {
+        assignTask();
+        LeaseRenewal fenced = worker.renewals.get(worker.renewals.size() - 1);
+        worker.renewal.completeExceptionally(new WorkerClient.FencedException());
+        executor.advance(150);
+        LeaseRenewal next = worker.renewals.get(worker.renewals.size() - 1);
+        assertTrue(next.fencingToken() - fenced.fencingToken()
+                >= Duration.ofHours(1).toMillis());
+    }
+
     // Guards against a lease that never expires because unanswered renewals extend it.
     @Test
     public void aRenewalDoesNotExtendTheLeaseWhileTheWorkerDoesNotRespond() {
