--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -1,10 +1,12 @@
 package org.gypsumflow.traffic;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.control.ManualExecutor;
@@ -24,6 +26,7 @@
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.WorkerProtocol.FinishedTask;
 import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
+import org.gypsumflow.model.WorkerProtocol.RunningTask;
 import org.gypsumflow.model.WorkerProtocol.StartResponse;
 import org.gypsumflow.model.WorkerProtocol.StartStatus;
 import org.gypsumflow.model.WorkerProtocol.TaskListing;
@@ -40,11 +43,15 @@
     /** A worker that starts every task, unless its connections are closed, and lists its tasks when the test says so. */
     private static final class ManualWorker implements WorkerClient {
         private CompletableFuture<TaskListing> renewal = new CompletableFuture<>();
+        private final List<Long> startTokens = new ArrayList<>();
+        private final List<Long> stopTokens = new ArrayList<>();
+        private final List<LeaseRenewal> renewals = new ArrayList<>();
         private boolean closesConnections;
 
         @Override
         public CompletableFuture<StartResponse> start(
                 BestEffortTaskId task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
+            startTokens.add(fencingToken);
             return closesConnections
                     ? CompletableFuture.failedFuture(new IOException("the connection was closed"))
                     : CompletableFuture.completedFuture(new StartResponse(StartStatus.STARTED, 0));
@@ -52,11 +59,13 @@
 
         @Override
         public CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken) {
+            stopTokens.add(fencingToken);
             return CompletableFuture.completedFuture(null);
         }
 
         @Override
         public CompletableFuture<TaskListing> renew(LeaseRenewal request) {
+            renewals.add(request);
             renewal = closesConnections
                     ? CompletableFuture.failedFuture(new IOException("the connection was closed"))
                     : new CompletableFuture<>();
@@ -66,6 +75,15 @@
         private void completeRenewal(FinishedTask... finished) {
             renewal.complete(new TaskListing(STARTED_AT_MILLIS, 0, List.of(), List.of(finished)));
         }
+
+        private void completeRenewalWithRunning(BestEffortTaskId task) {
+            RunningTask running = new RunningTask(task, RunNumber.FIRST, 0);
+            renewal.complete(new TaskListing(STARTED_AT_MILLIS, 0, List.of(running), List.of()));
+        }
+
+        private boolean lastRenewalExtendsLease() {
+            return renewals.get(renewals.size() - 1).leaseUntilMillis() >= 0;
+        }
     }
 
     private ManualExecutor executor;
@@ -100,7 +118,8 @@
                 Resources.of(8000, 1000, 0),
                 "rack",
                 false,
-                1);
+                1,
+                -1);
     }
 
     private void assignTask() {
@@ -141,6 +160,72 @@
         assertEquals(reportedOutcomes(), List.of());
     }
 
+    @Test
+    public void aRunCountsAsLostOnceTheLeaseHasExpiredAtAWorkerThatDoesNotRespond() {
+        assignTask();
+        worker.closesConnections = true;
+        worker.renewal.completeExceptionally(new IOException("the connection was closed"));
+        executor.advance(900);
+        assertEquals(reportedOutcomes(), List.of());
+        executor.advance(300);
+        assertEquals(reportedOutcomes(), List.of(RunOutcome.LOST));
+    }
+
+    // Guards against two runs of one task: a worker carries out a start late, after its task has started elsewhere.
+    @Test
+    public void aStartWithoutResponseIsFencedByTheStopThatFollows() {
+        worker.closesConnections = true;
+        assignTask();
+        assertTrue(worker.stopTokens.get(0) > worker.startTokens.get(0));
+    }
+
+    // Guards against an agent that never gets its worker back after the wall clock of its host was set back.
+    @Test
+    public void aRenewalThatTheWorkerFencesIsSentAgainWithAHigherToken() {
+        assignTask();
+        LeaseRenewal fenced = worker.renewals.get(worker.renewals.size() - 1);
+        worker.renewal.completeExceptionally(new WorkerClient.FencedException());
+        executor.advance(150);
+        LeaseRenewal next = worker.renewals.get(worker.renewals.size() - 1);
+        assertTrue(next.fencingToken() - fenced.fencingToken()
+                >= Duration.ofHours(1).toMillis());
+    }
+
+    // Guards against a lease that never expires because unanswered renewals extend it.
+    @Test
+    public void aRenewalDoesNotExtendTheLeaseWhileTheWorkerDoesNotRespond() {
+        assignTask();
+        worker.closesConnections = true;
+        worker.renewal.completeExceptionally(new IOException("the connection was closed"));
+        executor.advance(150);
+        assertFalse(worker.lastRenewalExtendsLease());
+    }
+
+    // Guards against two runs of one task: a stop without effect left the run of a lost entry at a worker whose lease
+    // was renewed for other runs, while the entry started the task elsewhere.
+    @Test
+    public void theLeaseIsNotExtendedWhileARunOfALostEntryGoesOn() {
+        assignTask();
+        agent.memberDisconnected(
+                new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1),
+                executor.timeSource().nanoTime());
+        worker.completeRenewalWithRunning(TASK);
+        assertTrue(worker.lastRenewalExtendsLease());
+        executor.advance(250);
+        worker.completeRenewalWithRunning(TASK);
+        assertFalse(worker.lastRenewalExtendsLease());
+    }
+
+    // Guards against two runs of one task: a restarted agent renewed the lease of a run that it did not know.
+    @Test
+    public void theLeaseIsNotExtendedWhileTheWorkerListsARunThatTheAgentDoesNotTrack() {
+        assignTask();
+        worker.completeRenewalWithRunning(BestEffortTaskId.of(JobId.of("00000000000000bb"), 0));
+        assertFalse(worker.lastRenewalExtendsLease());
+        worker.completeRenewalWithRunning(TASK);
+        assertTrue(worker.lastRenewalExtendsLease());
+    }
+
     @Test
     public void aNewlyConnectedEntryImmediatelyReceivesTheWorkerStatus() {
         RecordingConnection second = RecordingConnection.create();
@@ -161,7 +246,8 @@
                 Resources.of(8000, 1000, 0),
                 "rack",
                 false,
-                1));
+                1,
+                -1));
         assertTrue(entry.sent().stream()
                 .anyMatch(message -> message instanceof AgentReport report
                         && report.workerStatus().acceptsTasks()));
