Count a worker as ended only if its connection is refused

Cause: HttpClient wraps each failure to connect in a ConnectException, and WorkerSession took each ConnectException of a call for the end of the worker process: all runs counted as lost at once and were assigned elsewhere.

Ruled out: the response's timeout during a connect. It completes the response first, so that the caller gets a TimeoutException. The connect timeout of 2,000 ms is longer than each timeout of a call to the worker (400 and 700 ms), so it cannot reach WorkerSession either. Nothing shows that a failure of this kind occurred in the incident.

Change: WorkerClient states what a failure proves. ConnectException: not received, and no process listens. NotReceivedException: not received, the worker may live. Others: nothing. HttpWorkerClient keeps ConnectException only if its cause is a refusal by the operating system. The refusal is told by its message, as Java throws the same class for ETIMEDOUT; in a translated system no failure is a refusal, and the runs count as lost when the lease expires. HttpClient's ConnectException still means that the server received nothing.

--- a/src/main/java/org/gypsumflow/http/HttpClient.java
+++ b/src/main/java/org/gypsumflow/http/HttpClient.java
@@ -51,6 +51,9 @@
     /** Time after which a server that has not accepted a connection counts as unreachable. */
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
 
+    /** Message of the operating system for a refused connection; in another language no failure is a refusal. */
+    private static final String REFUSED = "Connection refused";
+
     private static final Attribute<AtomicReference<CompletableFuture<ClientResponse>>> PENDING_RESPONSE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(HttpClient.class.getName());
 
@@ -147,13 +150,30 @@
      * @param headers headers to send
      * @param body content
      * @param timeout how long to wait for the response, including the wait for a connection
-     * @return the response, or a failure; only a {@link ConnectException} proves that the server received nothing
+     * @return the response, or a failure; only a {@link ConnectException} proves that the server received nothing, and
+     *     only one for which {@link #isRefusal} is true proves that no process listens there
      */
     public CompletableFuture<ClientResponse> post(
             String url, Map<String, String> headers, byte[] body, Duration timeout) {
         return send("POST", url, headers, body, timeout);
     }
 
+    /**
+     * Returns whether a request failed because the operating system refused its connection, which proves that no process
+     * listens at the address.
+     *
+     * <p>Java throws a {@link ConnectException} also for a connection attempt that timed out in the operating system,
+     * so that the message must tell them apart.
+     *
+     * @param failure failure of a request
+     * @return true if the connection was refused; false for each other failure, among them the other failures to connect
+     */
+    public static boolean isRefusal(Throwable failure) {
+        return failure instanceof ConnectException
+                && failure.getCause() instanceof ConnectException cause
+                && REFUSED.equals(cause.getMessage());
+    }
+
     @Override
     public void close() {
         if (ownsTransport) {
--- a/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
+++ b/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -154,6 +155,15 @@
     }
 
     private CompletableFuture<ClientResponse> post(String path, Map<String, Object> body, Duration timeout) {
-        return httpClient.post(baseUrl + path, JSON_BODY, Json.toBytes(body), timeout);
+        return httpClient
+                .post(baseUrl + path, JSON_BODY, Json.toBytes(body), timeout)
+                .exceptionallyCompose(failure -> CompletableFuture.failedFuture(proofOf(failure)));
+    }
+
+    /** Returns the failure that states what the given failure of a request proves, see {@link WorkerClient}. */
+    static Throwable proofOf(Throwable failure) {
+        return failure instanceof ConnectException && !HttpClient.isRefusal(failure)
+                ? NotReceivedException.of(failure)
+                : failure;
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/WorkerClient.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerClient.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.traffic;
 
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.RunNumber;
@@ -10,9 +11,39 @@
 /**
  * Calls the worker that an agent controls.
  *
- * <p>A call whose future fails may still be executed later, unless it fails with a {@link java.net.ConnectException}.
+ * <p>What the failure of a call proves:
+ *
+ * <ul>
+ *   <li>{@link java.net.ConnectException}: the worker did not receive the call, and no process listens at its address,
+ *       so that the worker has ended with all its runs. Only a connection that the operating system refused shows this.
+ *   <li>{@link NotReceivedException}: the worker did not receive the call. It may live and execute its runs; the fault
+ *       may be the caller's, such as too many open files.
+ *   <li>Any other failure, such as a timeout or a closed connection, proves nothing: the call may have been executed, or
+ *       be executed later.
+ * </ul>
+ *
+ * <p>The cause may be wrapped in a {@link java.util.concurrent.CompletionException}.
  */
 public interface WorkerClient {
+    /** A call that the worker did not receive, although it may still be running. */
+    final class NotReceivedException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        private NotReceivedException(Throwable cause) {
+            super("the worker did not receive the call", cause);
+        }
+
+        /**
+         * Creates an exception.
+         *
+         * @param cause why no connection could be opened
+         * @return the exception
+         */
+        public static NotReceivedException of(Throwable cause) {
+            return new NotReceivedException(cause);
+        }
+    }
+
     /**
      * Starts a run of a task.
      *
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -167,7 +167,7 @@
     }
 
     private void startFailed(TaskRun run, Throwable failure) {
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a start", failure);
             workerExited("a start could not connect");
             return;
@@ -188,7 +188,7 @@
             scheduler.stopAcknowledged(run.task(), run.number(), time.nanoTime());
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             workerExited("a stop could not connect");
             return;
         }
@@ -236,7 +236,7 @@
             executeActions();
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a renewal", failure);
             workerExited("a renewal could not connect");
             unresponsive = false;
@@ -333,7 +333,8 @@
         return Duration.ofNanos(time.nanoTime()).toMillis();
     }
 
-    private static boolean isConnectFailure(Throwable failure) {
+    /** Returns whether a call's failure proves that no worker process listens any more, see {@link WorkerClient}. */
+    private static boolean provesWorkerEnded(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException;
     }
--- a/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
+++ b/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
@@ -1,10 +1,25 @@
 package org.gypsumflow.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.NoRouteToHostException;
+import java.net.ServerSocket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.gypsumflow.http.HttpClient;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.JobId;
@@ -12,9 +27,11 @@
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.model.WorkerProtocol.FinishedTask;
+import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
 import org.gypsumflow.model.WorkerProtocol.RunningTask;
 import org.gypsumflow.model.WorkerProtocol.StartStatus;
 import org.gypsumflow.model.WorkerProtocol.TaskListing;
+import org.gypsumflow.traffic.WorkerClient;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -69,4 +86,68 @@
                 ValidationException.class,
                 () -> HttpWorkerClient.parseTaskListing(Json.parseObject(bytes("{\"running\":[]}"))));
     }
+
+    @DataProvider
+    public Object[][] calls() {
+        Function<WorkerClient, CompletableFuture<?>> start =
+                worker -> worker.start(TASK, RunNumber.FIRST, "text", 100, 1);
+        Function<WorkerClient, CompletableFuture<?>> stop = worker -> worker.stop(TASK, RunNumber.FIRST, 1);
+        Function<WorkerClient, CompletableFuture<?>> renewal =
+                worker -> worker.renew(new LeaseRenewal(1, 0, 100, Duration.ZERO));
+        return new Object[][] {{start}, {stop}, {renewal}};
+    }
+
+    private static Throwable failureOf(Function<WorkerClient, CompletableFuture<?>> call, String address) {
+        try (HttpClient httpClient = HttpClient.create()) {
+            CompletableFuture<?> response = call.apply(HttpWorkerClient.create(httpClient, address));
+            return expectThrows(CompletionException.class, response::join).getCause();
+        }
+    }
+
+    @Test(dataProvider = "calls")
+    public void aRefusedConnectionProvesThatNoProcessListens(Function<WorkerClient, CompletableFuture<?>> call)
+            throws IOException {
+        int closedPort;
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closedPort = listener.getLocalPort();
+        }
+        Throwable failure = failureOf(call, "127.0.0.1:" + closedPort);
+        assertTrue(failure instanceof ConnectException, failure.toString());
+    }
+
+    // Guards against two runs of one task: an agent whose connection failed for a reason of its own, such as too many
+    // open files, took the worker for ended. The broadcast address of the loopback network cannot be connected to.
+    @Test(dataProvider = "calls")
+    public void aWorkerThatCannotBeReachedIsNotTakenForEnded(Function<WorkerClient, CompletableFuture<?>> call) {
+        Throwable failure = failureOf(call, "127.255.255.255:9");
+        assertFalse(failure instanceof ConnectException, failure.toString());
+        assertTrue(failure instanceof WorkerClient.NotReceivedException, failure.toString());
+    }
+
+    @DataProvider
+    public Object[][] failuresThatLeaveTheWorkerRunning() {
+        return new Object[][] {
+            {new TimeoutException()},
+            {new SocketException("Too many open files")},
+            {new SocketException("Connection reset")},
+            {new NoRouteToHostException("No route to host")},
+            {new ConnectException("Connection timed out")},
+            {new IllegalStateException("the transport is stopped")},
+        };
+    }
+
+    // Guards against two runs of one task: each failure to connect counted as the end of the worker.
+    @Test(dataProvider = "failuresThatLeaveTheWorkerRunning")
+    public void aFailureToConnectThatIsNotARefusalProvesOnlyThatTheCallWasNotReceived(Throwable cause) {
+        ConnectException failure = new ConnectException("cannot connect");
+        failure.initCause(cause);
+        Throwable proof = HttpWorkerClient.proofOf(failure);
+        assertTrue(proof instanceof WorkerClient.NotReceivedException, proof.toString());
+    }
+
+    @Test
+    public void aFailureAfterTheConnectionIsPassedOnUnchanged() {
+        IOException failure = new IOException("the connection was closed before the response");
+        assertEquals(HttpWorkerClient.proofOf(failure), failure);
+    }
 }
