Keep a connection open if a timeout comes after its response

Cause: the callback of an exchange's timeout closed the connection without a look at whose it was. A response is taken first, the connection passed on to the next exchange, and then the response completed; a timeout in between closed the connection of the next exchange, which failed with "the connection was closed before the response" although its request may have arrived. If the timeout came earlier, the close was also what gave the slot back.

Ruled out: crossed responses. A connection is passed on only by responseReceived, and only after it has taken the exchange off the connection; an exchange that times out before is taken off by the timeout, and a response that comes then finds none and closes the connection. This holds as long as the server sends one response to a request.

Change: the timeout takes its exchange off the connection atomically and closes the connection only if that succeeds. A received response always gives the connection back, also when the exchange has timed out meanwhile: it is at the end of a response.

Tests (HttpClientTest, new; each method 200 times as a trial). Before, aTimeoutAfterTheResponseHasArrivedDoesNotFailTheNextRequestOnTheConnection: 200 of 200 failed with "the connection was closed before the response". The other five passed before the change too and stay as guards: a connection with "Connection: close" and an idle connection whose close has arrived are not used again, a request that was sent is not sent again, and a late response is not taken for the next. A first form of the test set its hook while the first request's write event could still come, and failed in 52 of 200 runs on the changed code; the hook is now set when the response is read.

--- a/src/main/java/org/gypsumflow/http/HttpClient.java
+++ b/src/main/java/org/gypsumflow/http/HttpClient.java
@@ -282,9 +282,10 @@
     }
 
     private void write(Connection<?> connection, Exchange exchange) {
-        PENDING_RESPONSE.get(connection).set(exchange.response);
+        AtomicReference<CompletableFuture<ClientResponse>> pending = PENDING_RESPONSE.get(connection);
+        pending.set(exchange.response);
         exchange.response.whenComplete((response, failure) -> {
-            if (failure != null) {
+            if (failure != null && pending.compareAndSet(exchange.response, null)) {
                 connection.closeSilently();
             }
         });
@@ -296,13 +297,17 @@
         connection.write(exchange.content);
     }
 
+    /**
+     * Completes the exchange that a response answers. Whoever takes an exchange off its connection decides on that
+     * connection: a timeout that comes after the response leaves it alone, as it may carry the next exchange.
+     */
     private void responseReceived(Connection<?> connection, HttpResponsePacket packet, byte[] body) {
         CompletableFuture<ClientResponse> response =
                 PENDING_RESPONSE.get(connection).getAndSet(null);
         InetSocketAddress address = (InetSocketAddress) connection.getPeerAddress();
         if (response == null || !packet.getProcessingState().isKeepAlive()) {
             connection.closeSilently();
-        } else if (!response.isDone()) {
+        } else {
             releaseConnection(address, connection);
         }
         if (response != null) {
