Send a request on another connection if its own closed before the write

Cause: a request that took an idle connection from the pool and found it closed failed with "the connection was closed before the request was sent". Nothing of it had been sent. For a start the failure counts as unconfirmed: the run is stopped and its task assigned again.

Change: write() returns whether it may have sent something. If it has not, a request on a pooled connection is submitted again and its response's timeout goes on. It takes the exchange off the connection atomically first, so that the close cannot fail it as well. If the close takes it in between, the exchange fails as before. Each new attempt uses up one closed connection of the pool. A new connection that is closed at once still fails its request, so that no loop of connections arises.

--- a/src/main/java/org/gypsumflow/http/HttpClient.java
+++ b/src/main/java/org/gypsumflow/http/HttpClient.java
@@ -228,7 +228,7 @@
         if (connection == null) {
             connect(exchange);
         } else {
-            write(connection, exchange);
+            writeOrResubmit(connection, exchange);
         }
     }
 
@@ -253,7 +253,10 @@
             CloseListener<Closeable, CloseType> listener =
                     (closedConnection, type) -> connectionClosed(exchange.address, connection);
             connection.addCloseListener(listener);
-            write(connection, exchange);
+            if (!write(connection, exchange)) {
+                exchange.response.completeExceptionally(
+                        new IOException("the connection was closed before the request was sent"));
+            }
         });
     }
 
@@ -281,7 +284,23 @@
         };
     }
 
-    private void write(Connection<?> connection, Exchange exchange) {
+    /**
+     * Sends an exchange on a connection of the pool, or on another one if that was closed before anything was sent. A new
+     * connection that is closed at once fails its exchange instead, so that a server that closes each is not asked again
+     * and again.
+     */
+    private void writeOrResubmit(Connection<?> connection, Exchange exchange) {
+        if (!write(connection, exchange)) {
+            submit(exchange);
+        }
+    }
+
+    /**
+     * Sends an exchange on a connection.
+     *
+     * @return false if the connection was closed before anything was sent and the exchange is still without a result
+     */
+    private static boolean write(Connection<?> connection, Exchange exchange) {
         AtomicReference<CompletableFuture<ClientResponse>> pending = PENDING_RESPONSE.get(connection);
         pending.set(exchange.response);
         exchange.response.whenComplete((response, failure) -> {
@@ -290,11 +309,10 @@
             }
         });
         if (!connection.isOpen()) {
-            exchange.response.completeExceptionally(
-                    new IOException("the connection was closed before the request was sent"));
-            return;
+            return !pending.compareAndSet(exchange.response, null);
         }
         connection.write(exchange.content);
+        return true;
     }
 
     /**
@@ -343,7 +361,7 @@
             }
         }
         if (next != null && connection != null) {
-            write(connection, next);
+            writeOrResubmit(connection, next);
         } else if (next != null) {
             connect(next);
         }
--- a/src/test/java/org/gypsumflow/http/HttpClientTest.java
+++ b/src/test/java/org/gypsumflow/http/HttpClientTest.java
@@ -12,12 +12,19 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -113,6 +120,23 @@
         return new String(response.join().body(), StandardCharsets.US_ASCII);
     }
 
+    /** Returns a filter that runs an action when its connection is closed, before any listener learns of the close. */
+    private static BaseFilter closeFilter(Runnable action) {
+        return new BaseFilter() {
+            @Override
+            public NextAction handleClose(FilterChainContext context) {
+                action.run();
+                return context.getInvokeAction();
+            }
+        };
+    }
+
+    private static Optional<Throwable> failureOf(CompletableFuture<ClientResponse> response) {
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        CompletableFuture<ClientResponse> unused = response.whenComplete((ignored, cause) -> failure.set(cause));
+        return Optional.ofNullable(failure.get());
+    }
+
     @Test
     public void requestsInTurnUseTheSameConnection() throws IOException {
         CompletableFuture<ClientResponse> first = post("/first");
@@ -164,6 +188,33 @@
         }
     }
 
+    // Guards against starts without response: a request whose pooled connection was found closed before the write was
+    // given up, although nothing of it had been sent.
+    @Test
+    public void aRequestWhoseIdleConnectionIsJustBeingClosedGoesOutOnAnotherConnection() throws IOException {
+        CompletableFuture<CompletableFuture<ClientResponse>> second = new CompletableFuture<>();
+        whenConnected = connection -> {
+            whenConnected = later -> {};
+            connection.setProcessor(FilterChainBuilder.stateless()
+                    .addAll((FilterChain) connection.getProcessor())
+                    .add(closeFilter(() -> second.complete(post("/second"))))
+                    .build());
+        };
+        CompletableFuture<ClientResponse> first = post("/first");
+        try (Socket connection = server.accept()) {
+            assertEquals(readRequest(connection), "/first");
+            respond(connection, "one", KEEP_ALIVE);
+            assertEquals(bodyOf(first), "one");
+        }
+        CompletableFuture<ClientResponse> response = second.join();
+        assertEquals(failureOf(response), Optional.empty());
+        try (Socket nextConnection = server.accept()) {
+            assertEquals(readRequest(nextConnection), "/second");
+            respond(nextConnection, "two", KEEP_ALIVE);
+            assertEquals(bodyOf(response), "two");
+        }
+    }
+
     // Guards against two runs of one task: a request that may have arrived must never be sent again.
     @Test
     public void aRequestThatWasSentFailsWithItsConnectionAndIsNotSentAgain() throws IOException {
