--- a/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
+++ b/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -153,12 +154,21 @@
 
     private static void requireAccepted(ClientResponse response, String request) {
         if (response.status() == CONFLICT && parseStartResponse(response).status() == StartStatus.FENCED) {
-            throw new CompletionException(new FencedException());
+            throw new CompletionException(FencedException.create());
         }
         Check.isTrue(response.status() == OK, request, "got HTTP status " + response.status());
     }
 
     private CompletableFuture<ClientResponse> post(String path, Map<String, Object> body, Duration timeout) {
-        return httpClient.post(baseUrl + path, JSON_BODY, Json.toBytes(body), timeout);
+        return httpClient
+                .post(baseUrl + path, JSON_BODY, Json.toBytes(body), timeout)
+                .exceptionallyCompose(failure -> CompletableFuture.failedFuture(proofOf(failure)));
+    }
+
+    /** Returns the failure that states what the given failure of a request proves, see {@link WorkerClient}. */
+    static Throwable proofOf(Throwable failure) {
+        return failure instanceof ConnectException && !HttpClient.isRefusal(failure)
+                ? NotReceivedException.of(failure)
+                : failure;
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -170,7 +170,7 @@
     }
 
     private void startFailed(TaskRun run, Throwable failure) {
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a start", failure);
             workerExited("a start could not connect");
             return;
@@ -191,7 +191,7 @@
             scheduler.stopAcknowledged(run.task(), run.number(), time.nanoTime());
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             workerExited("a stop could not connect");
             return;
         }
@@ -240,7 +240,7 @@
             executeActions();
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a renewal", failure);
             workerExited("a renewal could not connect");
             unresponsive = false;
@@ -353,7 +353,8 @@
         return cause instanceof WorkerClient.FencedException;
     }
 
-    private static boolean isConnectFailure(Throwable failure) {
+    /** Returns whether a call's failure proves that no worker process listens any more, see {@link WorkerClient}. */
+    private static boolean provesWorkerEnded(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException;
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -184,7 +184,7 @@
     public void aRenewalThatTheWorkerFencesIsSentAgainWithAHigherToken() {
         assignTask();
         LeaseRenewal fenced = worker.renewals.get(worker.renewals.size() - 1);
-        worker.renewal.completeExceptionally(new WorkerClient.FencedException());
+        worker.renewal.completeExceptionally(WorkerClient.FencedException.create());
         executor.advance(150);
         LeaseRenewal next = worker.renewals.get(worker.renewals.size() - 1);
         assertTrue(next.fencingToken() - fenced.fencingToken()
