Echo the heartbeats of agents, so that they know what an entry received

A time bound was counted from the wrong event: an agent judged its contact with an entry by the messages that it received, while the entry counts from those that it received from the agent. A heartbeat now carries the send time of the newest heartbeat that its sender had received on the connection (proto field echoed_nanos; absent from older senders, which confirms nothing). An agent sends heartbeats whatever else it sends, at the rate as before; an entry echoes them on the transport's thread and sends an agent no other, unless the connection is idle for 350 ms at a check. A process with many connections echoes every second one, as it sent half as many before.

A message on a connection that has ended is neither counted nor confirmed: the echo must not be newer than the receipt from which the entry counts.

An agent sends an entry its first report once the first echo shows that both directions work, rather than when the connection opens: aNewlyConnectedEntryImmediatelyReceivesTheWorkerStatus becomes aNewlyConnectedEntryReceivesTheWorkerStatusImmediatelyAfterItsFirstEcho, which also checks that nothing is sent before.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -23,6 +23,11 @@
     public static final Duration HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS = Duration.ofMillis(200);
     /** A process with more connections than this sends fewer heartbeats; present deployments have fewer. */
     public static final int MANY_CONNECTIONS_THRESHOLD = 16;
+    /**
+     * An entry's heartbeats to an agent echo those of the agent; one is sent without a heartbeat of the agent on a
+     * connection that is idle for this long at a check.
+     */
+    public static final Duration HEARTBEAT_IDLE_TIME_WITHOUT_ECHOES = Duration.ofMillis(350);
     /** Time without a message after which a connection counts as lost: three heartbeats, so that one may be late. */
     public static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(600);
     /** How long a worker runs tasks without a renewal; below the platform's limit of one second for leases. */
--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,9 +24,14 @@
 /**
  * Opens, monitors and reopens the connections of one process to the other members of the system.
  *
- * <p>Introduces this process on each connection, sends heartbeats when a connection is idle, and replaces connections
- * that exceed the heartbeat timeout. Its state is confined to the control thread; job messages are passed to the
- * listener directly, on the thread on which they arrived.
+ * <p>Introduces this process on each connection, sends heartbeats, and replaces connections that exceed the heartbeat
+ * timeout. Each heartbeat carries the send time of the newest one that was received on its connection. An agent sends
+ * heartbeats to entries whatever else it sends, and an entry echoes them immediately, so that the agent knows which of
+ * its messages have certainly arrived. Entries send each other heartbeats when their connection is idle.
+ *
+ * <p>Its state is confined to the control thread. Job messages and confirmed contacts are passed to the listener
+ * directly, on the thread on which they arrived, and heartbeats are echoed on that thread, so that a delayed control
+ * thread does not delay them.
  */
 public final class ConnectionManager implements ConnectionListener {
     /**
@@ -38,7 +44,7 @@
 
     /**
      * Callbacks for connections and messages. Connections and routing states are reported on the control thread, job
-     * messages on the thread on which they arrived.
+     * messages and confirmed contacts on the thread on which they arrived.
      */
     public interface MemberListener {
         /**
@@ -57,6 +63,17 @@
          */
         void memberDisconnected(Member member, long lastReceivedNanos);
 
+        /**
+         * Called when a member has confirmed that it received a heartbeat of this process.
+         *
+         * <p>The member counts its timeouts from its receipt of this process's messages, which is later than the send
+         * time of a heartbeat that it received.
+         *
+         * @param member member that confirmed it
+         * @param sentAtNanos monotonic time at which this process sent that heartbeat, in nanoseconds
+         */
+        void contactConfirmed(MemberName member, long sentAtNanos);
+
         /**
          * Called when a message about jobs has arrived.
          *
@@ -90,10 +107,28 @@
     private static final class ConnectionState {
         private volatile long lastReceivedNanos;
         private volatile long lastSentNanos;
+        private volatile OptionalLong lastHeartbeatSentNanos = OptionalLong.empty();
+        private volatile OptionalLong receivedHeartbeatNanos = OptionalLong.empty();
         private volatile Member member;
+        private boolean ended;
+
+        private ConnectionState(long createdNanos) {
+            this.lastReceivedNanos = createdNanos;
+            this.lastSentNanos = createdNanos;
+        }
+
+        /** Returns false once the connection has ended: a later message must neither count nor be confirmed. */
+        private synchronized boolean recordReceipt(long nowNanos) {
+            if (!ended) {
+                lastReceivedNanos = nowNanos;
+            }
+            return !ended;
+        }
 
-        private ConnectionState(long lastReceivedNanos) {
-            this.lastReceivedNanos = lastReceivedNanos;
+        /** Ends the connection and returns the time of its last message. */
+        private synchronized long end() {
+            ended = true;
+            return lastReceivedNanos;
         }
     }
 
@@ -208,7 +243,9 @@
     @Override
     public void messageReceived(Connection connection, Message message) {
         ConnectionState state = states.computeIfAbsent(connection, created -> new ConnectionState(time.nanoTime()));
-        state.lastReceivedNanos = time.nanoTime();
+        if (!state.recordReceipt(time.nanoTime())) {
+            return;
+        }
         if (message instanceof Introduce introduce) {
             controlExecutor.execute(() -> introductionReceived(connection, state, introduce));
         } else if (message instanceof ShareRoutingState routingState) {
@@ -217,7 +254,9 @@
                     listener.routingStateReceived(state.member.name(), routingState);
                 }
             });
-        } else if (message instanceof BestEffortMessage jobMessage && !(message instanceof MemberHeartbeat)) {
+        } else if (message instanceof MemberHeartbeat heartbeat) {
+            heartbeatReceived(connection, state, heartbeat);
+        } else if (message instanceof BestEffortMessage jobMessage) {
             Member member = state.member;
             if (member != null) {
                 listener.jobMessageReceived(member.name(), jobMessage);
@@ -230,6 +269,18 @@
         controlExecutor.execute(() -> connectionEnded(connection, "disconnected"));
     }
 
+    private void heartbeatReceived(Connection connection, ConnectionState state, MemberHeartbeat heartbeat) {
+        state.receivedHeartbeatNanos = OptionalLong.of(heartbeat.sentAtNanos());
+        Member member = state.member;
+        if (member == null) {
+            return;
+        }
+        heartbeat.echoedNanos().ifPresent(sentAtNanos -> listener.contactConfirmed(member.name(), sentAtNanos));
+        if (echoesHeartbeatsOf(member) && heartbeatDue(state, time.nanoTime())) {
+            sendHeartbeat(connection, state);
+        }
+    }
+
     private void introductionReceived(Connection connection, ConnectionState state, Introduce introduce) {
         Member member = introduce.member();
         Connection previous = connectionByName.put(member.name(), connection);
@@ -240,7 +291,7 @@
             ConnectionState previousState = states.remove(previous);
             previous.close();
             if (previousState != null) {
-                listener.memberDisconnected(member, previousState.lastReceivedNanos);
+                listener.memberDisconnected(member, previousState.end());
             }
         }
         state.member = member;
@@ -250,6 +301,36 @@
         }
         events.write(Event.MEMBER_CONNECTED, member.role(), member.name(), member.zone(), introduce.incarnation());
         listener.memberConnected(member, new SendTrackingConnection(connection, state, time));
+        boolean unansweredHeartbeat = echoesHeartbeatsOf(member) && state.receivedHeartbeatNanos.isPresent();
+        if (sendsHeartbeatsAlwaysTo(member) || unansweredHeartbeat) {
+            sendHeartbeat(connection, state);
+        }
+    }
+
+    private boolean echoesHeartbeatsOf(Member member) {
+        return self.role() == Member.Role.ENTRY && member.role() == Member.Role.AGENT;
+    }
+
+    private boolean sendsHeartbeatsAlwaysTo(Member member) {
+        return self.role() == Member.Role.AGENT && member.role() == Member.Role.ENTRY;
+    }
+
+    private boolean heartbeatDue(ConnectionState state, long nowNanos) {
+        OptionalLong previous = state.lastHeartbeatSentNanos;
+        return previous.isEmpty() || nowNanos - previous.getAsLong() > heartbeatIdleNanos();
+    }
+
+    private long heartbeatIdleNanos() {
+        return states.size() > BestEffortTimings.MANY_CONNECTIONS_THRESHOLD
+                ? BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS.toNanos()
+                : BestEffortTimings.HEARTBEAT_IDLE_TIME.toNanos();
+    }
+
+    private void sendHeartbeat(Connection connection, ConnectionState state) {
+        long nowNanos = time.nanoTime();
+        state.lastSentNanos = nowNanos;
+        state.lastHeartbeatSentNanos = OptionalLong.of(nowNanos);
+        connection.send(new MemberHeartbeat(nowNanos, state.receivedHeartbeatNanos));
     }
 
     private void connect(MemberName name) {
@@ -290,9 +371,6 @@
 
     private void checkConnections() {
         long nowNanos = time.nanoTime();
-        long heartbeatIdleNanos = states.size() > BestEffortTimings.MANY_CONNECTIONS_THRESHOLD
-                ? BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS.toNanos()
-                : BestEffortTimings.HEARTBEAT_IDLE_TIME.toNanos();
         states.forEach((connection, state) -> {
             if (nowNanos - state.lastReceivedNanos > BestEffortTimings.HEARTBEAT_TIMEOUT.toNanos()) {
                 connectionEnded(
@@ -301,26 +379,36 @@
                                 + Duration.ofNanos(nowNanos - state.lastReceivedNanos)
                                         .toMillis() + " ms");
                 connection.close();
-            } else if (state.member != null && nowNanos - state.lastSentNanos > heartbeatIdleNanos) {
-                state.lastSentNanos = nowNanos;
-                connection.send(new MemberHeartbeat(nowNanos));
+            } else if (state.member != null && needsHeartbeat(state.member, state, nowNanos)) {
+                sendHeartbeat(connection, state);
             }
         });
     }
 
+    private boolean needsHeartbeat(Member member, ConnectionState state, long nowNanos) {
+        if (sendsHeartbeatsAlwaysTo(member)) {
+            return heartbeatDue(state, nowNanos);
+        }
+        long maxIdleNanos = echoesHeartbeatsOf(member)
+                ? BestEffortTimings.HEARTBEAT_IDLE_TIME_WITHOUT_ECHOES.toNanos()
+                : heartbeatIdleNanos();
+        return nowNanos - state.lastSentNanos > maxIdleNanos;
+    }
+
     private void connectionEnded(Connection connection, String reason) {
         ConnectionState state = states.remove(connection);
         initiatedHere.remove(connection);
         if (state == null) {
             return;
         }
+        long lastReceivedNanos = state.end();
         Member member = state.member;
         if (member == null) {
             return;
         }
         if (connectionByName.remove(member.name(), connection)) {
             events.write(Event.MEMBER_LOST, member.role(), member.name(), reason);
-            listener.memberDisconnected(member, state.lastReceivedNanos);
+            listener.memberDisconnected(member, lastReceivedNanos);
             connect(member.name());
         }
     }
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** A message about best-effort jobs, between an entry and an agent or between two entries. */
@@ -18,8 +19,21 @@
      * Shows that the sender is alive and that the connection works.
      *
      * @param sentAtNanos the sender's monotonic time in nanoseconds
+     * @param echoedNanos {@code sentAtNanos} of the newest heartbeat that the sender had received on this connection,
+     *     by the receiver's monotonic clock; empty if it had received none, and always from a sender of an older
+     *     version
      */
-    record MemberHeartbeat(long sentAtNanos) implements BestEffortMessage {}
+    record MemberHeartbeat(long sentAtNanos, OptionalLong echoedNanos) implements BestEffortMessage {
+        /**
+         * Creates a heartbeat that confirms none of the receiver's.
+         *
+         * @param sentAtNanos the sender's monotonic time in nanoseconds
+         * @return the heartbeat
+         */
+        public static MemberHeartbeat withoutEcho(long sentAtNanos) {
+            return new MemberHeartbeat(sentAtNanos, OptionalLong.empty());
+        }
+    }
 
     /**
      * A task that an entry assigns to an agent, for one run on the agent's worker.
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.AgentScheduler;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
@@ -44,11 +45,14 @@
 
     private static final class ConnectedEntry {
         private final Connection connection;
+        private final long connectedNanos;
+        private OptionalLong confirmedSentNanos = OptionalLong.empty();
         private WorkerStatus lastStatus;
         private long lastReportNanos;
 
-        private ConnectedEntry(Connection connection) {
+        private ConnectedEntry(Connection connection, long connectedNanos) {
             this.connection = connection;
+            this.connectedNanos = connectedNanos;
         }
     }
 
@@ -153,8 +157,11 @@
         executor.execute(() -> {
             workerSession.workerReported(report);
             workerSession.executeActions();
-            entries.forEach(
-                    (name, entry) -> sendReport(entry, List.of(), scheduler.workerStatusFor(name, time.nanoTime())));
+            entries.forEach((name, entry) -> {
+                if (entry.confirmedSentNanos.isPresent()) {
+                    sendReport(entry, List.of(), scheduler.workerStatusFor(name, time.nanoTime()));
+                }
+            });
         });
     }
 
@@ -179,10 +186,23 @@
 
     @Override
     public void memberConnected(Member member, Connection connection) {
+        long connectedNanos = time.nanoTime();
+        executor.execute(() -> entries.put(member.name(), new ConnectedEntry(connection, connectedNanos)));
+    }
+
+    @Override
+    public void contactConfirmed(MemberName member, long sentAtNanos) {
         executor.execute(() -> {
-            ConnectedEntry entry = new ConnectedEntry(connection);
-            entries.put(member.name(), entry);
-            sendReport(entry, List.of(), scheduler.workerStatusFor(member.name(), time.nanoTime()));
+            ConnectedEntry entry = entries.get(member);
+            // A heartbeat from before this connection was confirmed on an earlier one.
+            if (entry == null || sentAtNanos - entry.connectedNanos < 0) {
+                return;
+            }
+            boolean first = entry.confirmedSentNanos.isEmpty();
+            entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
+            if (first) {
+                sendReport(entry, List.of(), scheduler.workerStatusFor(member, time.nanoTime()));
+            }
         });
     }
 
@@ -292,6 +312,9 @@
     }
 
     private void reportIfChanged(MemberName name, ConnectedEntry entry) {
+        if (entry.confirmedSentNanos.isEmpty()) {
+            return;
+        }
         WorkerStatus status = scheduler.workerStatusFor(name, time.nanoTime());
         long sinceLastReport = time.nanoTime() - entry.lastReportNanos;
         long minInterval =
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -294,6 +294,10 @@
         });
     }
 
+    /** Ignored: an entry counts its timeouts from the messages that it receives. */
+    @Override
+    public void contactConfirmed(MemberName member, long sentAtNanos) {}
+
     @Override
     public void jobMessageReceived(MemberName from, BestEffortMessage message) {
         executor.execute(() -> {
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage;
@@ -59,7 +60,9 @@
                     .setMember(encode(introduce.member()))
                     .setIncarnation(introduce.incarnation().value()));
         } else if (message instanceof MemberHeartbeat heartbeat) {
-            envelope.setNodeHeartbeat(NodeHeartbeat.newBuilder().setSentAtNanos(heartbeat.sentAtNanos()));
+            NodeHeartbeat.Builder encoded = NodeHeartbeat.newBuilder().setSentAtNanos(heartbeat.sentAtNanos());
+            heartbeat.echoedNanos().ifPresent(encoded::setEchoedNanos);
+            envelope.setNodeHeartbeat(encoded);
         } else if (message instanceof AssignTasks assign) {
             envelope.setStartOrders(encode(assign));
         } else if (message instanceof StopTasks stop) {
@@ -93,8 +96,7 @@
                 new Introduce(
                         decode(envelope.getIntroduce().getMember()),
                         Incarnation.of(envelope.getIntroduce().getIncarnation()));
-            case NODE_HEARTBEAT ->
-                new MemberHeartbeat(envelope.getNodeHeartbeat().getSentAtNanos());
+            case NODE_HEARTBEAT -> decode(envelope.getNodeHeartbeat());
             case START_ORDERS -> decode(envelope.getStartOrders());
             case STOP_ORDERS ->
                 new StopTasks(
@@ -119,6 +121,12 @@
         };
     }
 
+    private static MemberHeartbeat decode(NodeHeartbeat heartbeat) {
+        return new MemberHeartbeat(
+                heartbeat.getSentAtNanos(),
+                heartbeat.hasEchoedNanos() ? OptionalLong.of(heartbeat.getEchoedNanos()) : OptionalLong.empty());
+    }
+
     static MemberOfSystem encode(Member member) {
         return MemberOfSystem.newBuilder()
                 .setNode(member.name().value())
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -3,34 +3,43 @@
 import static org.testng.Assert.assertEquals;
 
 import java.net.ConnectException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage;
+import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
+import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Message;
+import org.gypsumflow.model.Resources;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public final class ConnectionManagerTest {
     private static final Member SELF = member("entry", Member.Role.ENTRY);
     private static final Member AGENT = member("agent", Member.Role.AGENT);
+    private static final WorkerStatus NO_WORKER = new WorkerStatus(
+            false, "", "", Resources.NONE, Resources.NONE, Resources.NONE, Resources.NONE, Duration.ZERO, 1, 0, 0, 0);
 
-    /** Connection that counts heartbeats and on which no reply arrives. */
+    /** Connection that records heartbeats and on which no reply arrives. */
     private static final class RecordingConnection implements Connection {
+        private final List<MemberHeartbeat> heartbeats = new ArrayList<>();
         private boolean open = true;
-        private int heartbeatsSent;
 
         @Override
         public void send(Message message) {
-            heartbeatsSent += message instanceof MemberHeartbeat ? 1 : 0;
+            if (message instanceof MemberHeartbeat heartbeat) {
+                heartbeats.add(heartbeat);
+            }
         }
 
         @Override
@@ -43,6 +52,7 @@
         @Override
         public void memberConnected(Member member, Connection connection) {
             notifications.add("connected");
+            connectedMembers.add(connection);
         }
 
         @Override
@@ -50,6 +60,11 @@
             notifications.add("lost");
         }
 
+        @Override
+        public void contactConfirmed(MemberName member, long sentAtNanos) {
+            notifications.add("confirmed " + sentAtNanos);
+        }
+
         @Override
         public void jobMessageReceived(MemberName sender, BestEffortMessage message) {}
 
@@ -59,6 +74,7 @@
 
     private final List<String> notifications = new ArrayList<>();
     private final List<RecordingConnection> connections = new ArrayList<>();
+    private final List<Connection> connectedMembers = new ArrayList<>();
     private ManualExecutor executor;
     private ConnectionManager connectionManager;
     private boolean reachable;
@@ -70,13 +86,18 @@
 
     @BeforeMethod
     public void createManagerWithAReachableMember() {
+        createManagerOf(SELF);
+    }
+
+    private void createManagerOf(Member self) {
         notifications.clear();
         connections.clear();
+        connectedMembers.clear();
         connectAttempts = 0;
         reachable = true;
         executor = new ManualExecutor();
         connectionManager = ConnectionManager.create(
-                SELF,
+                self,
                 Incarnation.random(),
                 executor,
                 executor.timeSource(),
@@ -112,9 +133,10 @@
         }
         for (int check = 0; check < 20; check++) {
             executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
-            connections.forEach(connection -> connectionManager.messageReceived(connection, new MemberHeartbeat(0)));
+            connections.forEach(
+                    connection -> connectionManager.messageReceived(connection, MemberHeartbeat.withoutEcho(0)));
         }
-        return connections.get(0).heartbeatsSent;
+        return connections.get(0).heartbeats.size();
     }
 
     @Test
@@ -124,6 +146,81 @@
         assertEquals(heartbeatsOnOneOf(70), 10);
     }
 
+    @Test
+    public void anEntryEchoesTheHeartbeatOfAnAgentImmediatelyAndSendsItNoOther() {
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        for (int sentAtNanos = 0; sentAtNanos < 20; sentAtNanos++) {
+            executor.advance(75);
+            connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(sentAtNanos));
+            assertEquals(connections.get(0).heartbeats.get(sentAtNanos).echoedNanos(), OptionalLong.of(sentAtNanos));
+            executor.advance(75);
+        }
+        assertEquals(connections.get(0).heartbeats.size(), 20);
+    }
+
+    @Test
+    public void anAgentSendsAHeartbeatAtEachCheckAlthoughItSendsOtherMessages() {
+        createManagerOf(AGENT);
+        connectionManager.maintainConnection(SELF);
+        introduceMember(0, SELF);
+        for (int check = 0; check < 20; check++) {
+            executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis() - 10);
+            connectedMembers.get(0).send(new AgentReport(List.of(), NO_WORKER));
+            executor.advance(10);
+            connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(check));
+        }
+        assertEquals(connections.get(0).heartbeats.size(), 1 + 20);
+    }
+
+    @Test
+    public void anAgentLearnsWhichOfItsHeartbeatsAnEntryReceived() {
+        createManagerOf(AGENT);
+        connectionManager.maintainConnection(SELF);
+        introduceMember(0, SELF);
+        long sentAtNanos = connections.get(0).heartbeats.get(0).sentAtNanos();
+        connectionManager.messageReceived(connections.get(0), new MemberHeartbeat(7, OptionalLong.of(sentAtNanos)));
+        connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(8));
+        assertEquals(notifications, List.of("connected", "confirmed " + sentAtNanos));
+    }
+
+    @Test
+    public void aHeartbeatThatArrivesBeforeTheIntroductionWasAppliedIsEchoedAfterIt() {
+        connectionManager.maintainConnection(AGENT);
+        connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(7));
+        assertEquals(connections.get(0).heartbeats, List.of());
+        introduceMember(0);
+        assertEquals(connections.get(0).heartbeats.get(0).echoedNanos(), OptionalLong.of(7));
+    }
+
+    @Test
+    public void aHeartbeatOnAConnectionThatHasEndedIsNotConfirmed() {
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        connectionManager.connectionClosed(connections.get(0));
+        connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(7));
+        assertEquals(connections.get(0).heartbeats, List.of());
+    }
+
+    @Test
+    public void anEntrySendsHeartbeatsToAnAgentThatSendsNone() {
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        executor.advance(BestEffortTimings.HEARTBEAT_TIMEOUT.toMillis());
+        assertEquals(connections.get(0).heartbeats.size(), 1);
+    }
+
+    @Test
+    public void anEntrySendsAnotherEntryHeartbeatsWithoutEchoingItsOwnImmediately() {
+        Member peer = member("peer", Member.Role.ENTRY);
+        connectionManager.maintainConnection(peer);
+        introduceMember(0, peer);
+        connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(7));
+        assertEquals(connections.get(0).heartbeats, List.of());
+        executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
+        assertEquals(connections.get(0).heartbeats.size(), 1);
+    }
+
     @Test
     public void aMemberThatIsDiscoveredRepeatedlyIsConnectedOnce() {
         connectionManager.maintainConnection(AGENT);
@@ -178,7 +275,7 @@
         introduceMember(0);
         for (int round = 0; round < 20; round++) {
             executor.advance(150);
-            connectionManager.messageReceived(connections.get(0), new MemberHeartbeat(0));
+            connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(0));
         }
         assertEquals(notifications, List.of("connected"));
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.control.ManualExecutor;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.model.AvailabilityZone;
@@ -72,6 +73,7 @@
     private ManualWorker worker;
     private RecordingConnection entry;
     private BestEffortAgent agent;
+    private boolean entryEchoesHeartbeats;
 
     @BeforeMethod
     public void startAnAgentWithAWorkerAndAnEntry() {
@@ -85,12 +87,24 @@
                 RoutingStateCache.create((event, details) -> {}),
                 (event, details) -> {});
         agent.start();
+        entryEchoesHeartbeats = true;
         agent.memberConnected(new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1), entry);
+        confirmContact();
+        executor.scheduleWithFixedDelay(BestEffortTimings.CONNECTION_CHECK_INTERVAL, () -> {
+            if (entryEchoesHeartbeats) {
+                confirmContact();
+            }
+            return true;
+        });
         agent.workerReported(report());
         worker.completeRenewal();
         executor.advance(200);
     }
 
+    private void confirmContact() {
+        agent.contactConfirmed(ENTRY, executor.timeSource().nanoTime());
+    }
+
     private static WorkerReport report() {
         return new WorkerReport(
                 "worker",
@@ -142,9 +156,14 @@
     }
 
     @Test
-    public void aNewlyConnectedEntryImmediatelyReceivesTheWorkerStatus() {
+    public void aNewlyConnectedEntryReceivesTheWorkerStatusImmediatelyAfterItsFirstEcho() {
+        MemberName secondName = MemberName.of("second");
         RecordingConnection second = RecordingConnection.create();
-        agent.memberConnected(new Member(MemberName.of("second"), Member.Role.ENTRY, ZONE, "127.0.0.1", 2), second);
+        agent.memberConnected(new Member(secondName, Member.Role.ENTRY, ZONE, "127.0.0.1", 2), second);
+        agent.workerReported(report());
+        executor.advance(1500);
+        assertEquals(second.sent(), List.of());
+        agent.contactConfirmed(secondName, executor.timeSource().nanoTime());
         assertTrue(second.sent().get(0) instanceof AgentReport report
                 && report.workerStatus().acceptsTasks());
     }
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage;
@@ -82,7 +83,9 @@
                 Duration.ofMillis(1500));
         return new Object[][] {
             {new Introduce(MEMBER, Incarnation.of("life-1"))},
-            {new MemberHeartbeat(7)},
+            {MemberHeartbeat.withoutEcho(7)},
+            {new MemberHeartbeat(7, OptionalLong.of(0))},
+            {new MemberHeartbeat(-7, OptionalLong.of(-9))},
             {
                 new AssignTasks(List.of(
                         assignment(0, "same"), assignment(1, "same"), assignment(2, ""), assignment(3, "other")))
