Notice a pause by both clocks, and before anything else is handled

Agents and entries looked at the wall clock only: a host that was suspended while its wall clock was set back noticed nothing. They now go by the clock that advanced further. An agent looked for a pause when messages of entries came and at its ticks, but not before it handled the worker's responses: a result that it found after a pause let a waiting task start, although the entry may have assigned it elsewhere. It now looks before every action of its executor. An entry also looks before it handles the end of a connection.

The estimate of the tests' assignment is 2 s instead of 100 ms, so that its run does not count as stalled meanwhile.

--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -56,16 +56,36 @@
         }
     }
 
+    /** Runs a check before each action, since the process may have been paused since the last one. */
+    private record CheckingExecutor(SerialExecutor executor, Runnable check) implements SerialExecutor {
+        @Override
+        public void execute(Runnable action) {
+            executor.execute(checked(action));
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable action) {
+            executor.schedule(delay, checked(action));
+        }
+
+        private Runnable checked(Runnable action) {
+            return () -> {
+                check.run();
+                action.run();
+            };
+        }
+    }
+
     private final SerialExecutor executor;
     private final TimeSource time;
     private final EventLog events;
     private final RoutingStateCache routingState;
     private final AgentScheduler scheduler = AgentScheduler.create();
+    private final PauseDetector pauseDetector;
     private final WorkerSession workerSession;
     private final Map<MemberName, ConnectedEntry> entries = new HashMap<>();
     private final Map<MemberName, List<RunResult>> resultsByEntry = new HashMap<>();
     private CompletableFuture<Void> drained;
-    private long lastTickMillis;
     private long lastStatusLogNanos;
     private boolean stopped;
 
@@ -75,12 +95,13 @@
             WorkerClient worker,
             RoutingStateCache routingState,
             EventLog events) {
-        this.executor = executor;
+        this.executor = new CheckingExecutor(executor, this::detectPause);
         this.time = time;
         this.events = events;
         this.routingState = routingState;
+        this.pauseDetector = PauseDetector.create(time);
         this.workerSession = new WorkerSession(
-                executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
+                this.executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
     }
 
     /**
@@ -106,7 +127,7 @@
      * Starts the periodic work: expiry of queued assignments, detection of stalled tasks and pauses, status reports.
      */
     public void start() {
-        lastTickMillis = time.currentTimeMillis();
+        pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             tick();
             return !stopped;
@@ -221,7 +242,6 @@
     @Override
     public void jobMessageReceived(MemberName from, BestEffortMessage message) {
         executor.execute(() -> {
-            detectPause();
             long now = time.nanoTime();
             if (message instanceof AssignTasks request) {
                 request.assignments().forEach(assignment -> scheduler.assign(from, assignment, now));
@@ -240,7 +260,6 @@
     }
 
     private void tick() {
-        detectPause();
         scheduler.tick(time.nanoTime()).forEach(this::logStalled);
         workerSession.executeActions();
         logWorkerStatus();
@@ -274,13 +293,11 @@
     }
 
     private void detectPause() {
-        long now = time.currentTimeMillis();
-        long gapMillis = now - lastTickMillis;
-        lastTickMillis = now;
-        if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis()) {
-            events.write(Event.PROCESS_PAUSED, gapMillis);
+        pauseDetector.detect().ifPresent(pause -> {
+            events.write(Event.PROCESS_PAUSED, pause.toMillis());
             scheduler.processPaused(time.nanoTime());
-        }
+            workerSession.executeActions();
+        });
     }
 
     private void reportResults() {
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -66,9 +66,9 @@
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final Map<JobId, CompletableFuture<Boolean>> pendingHandovers = new HashMap<>();
     private final List<JobId> unannouncedJobs = new ArrayList<>();
+    private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
     private CompletableFuture<Void> drained;
-    private long lastTickMillis;
     private volatile int connectedAgentCount;
     private boolean stopped;
 
@@ -83,6 +83,7 @@
         this.time = time;
         this.events = events;
         this.routingState = routingState;
+        this.pauseDetector = PauseDetector.create(time);
         this.dispatcher = JobDispatcher.create(
                 capacityTracker,
                 placementPolicy,
@@ -114,7 +115,7 @@
 
     /** Starts the periodic work: timeouts, detection of pauses, and messages to peers about accepted jobs. */
     public void start() {
-        lastTickMillis = time.currentTimeMillis();
+        pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             detectPause();
             dispatcher.tick(time.nanoTime());
@@ -285,6 +286,7 @@
     @Override
     public void memberDisconnected(Member member, long lastMessageNanos) {
         executor.execute(() -> {
+            detectPause();
             if (agents.remove(member.name()) != null) {
                 dispatcher.agentDisconnected(
                         member.name(), lastMessageNanos + BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.toNanos());
@@ -346,12 +348,10 @@
     }
 
     private void detectPause() {
-        long now = time.currentTimeMillis();
-        long gapMillis = now - lastTickMillis;
-        lastTickMillis = now;
-        if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis() && dispatcher.activeJobCount() > 0) {
-            events.write(Event.PROCESS_PAUSED, gapMillis);
-            dispatcher.abandonAll("this host was paused for " + gapMillis + " ms");
+        Optional<Duration> pause = pauseDetector.detect();
+        if (pause.isPresent() && dispatcher.activeJobCount() > 0) {
+            events.write(Event.PROCESS_PAUSED, pause.get().toMillis());
+            dispatcher.abandonAll("this host was paused for " + pause.get().toMillis() + " ms");
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/gypsumflow/traffic/PauseDetector.java
@@ -0,0 +1,52 @@
+package org.gypsumflow.traffic;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.control.TimeSource;
+
+/**
+ * Detects that this process did not run for some time, from the time between two calls.
+ *
+ * <p>It goes by the clock that advanced further: the monotonic clock may stand still while a host is suspended, and the
+ * wall clock may be set back.
+ */
+final class PauseDetector {
+    private final TimeSource time;
+    private long previousNanos;
+    private long previousMillis;
+
+    private PauseDetector(TimeSource time) {
+        this.time = time;
+        restart();
+    }
+
+    /**
+     * Creates a detector that measures from now on.
+     *
+     * @param time wall clock and monotonic clock
+     * @return the detector
+     */
+    static PauseDetector create(TimeSource time) {
+        return new PauseDetector(time);
+    }
+
+    /** Measures from now on, as if the process had run until now. */
+    void restart() {
+        previousNanos = time.nanoTime();
+        previousMillis = time.currentTimeMillis();
+    }
+
+    /**
+     * Measures the time since the last call.
+     *
+     * @return that time if it exceeds {@link BestEffortTimings#PAUSE_THRESHOLD}
+     */
+    Optional<Duration> detect() {
+        Duration monotonicGap = Duration.ofNanos(time.nanoTime() - previousNanos);
+        Duration wallGap = Duration.ofMillis(time.currentTimeMillis() - previousMillis);
+        restart();
+        Duration gap = monotonicGap.compareTo(wallGap) > 0 ? monotonicGap : wallGap;
+        return gap.compareTo(BestEffortTimings.PAUSE_THRESHOLD) > 0 ? Optional.of(gap) : Optional.empty();
+    }
+}
--- a/src/test/java/org/gypsumflow/control/ManualExecutor.java
+++ b/src/test/java/org/gypsumflow/control/ManualExecutor.java
@@ -10,6 +10,7 @@
 
     private final List<DelayedAction> delayedActions = new ArrayList<>();
     private long nowMillis = 1_000_000;
+    private long wallClockOffsetMillis;
 
     @Override
     public void execute(Runnable action) {
@@ -23,7 +24,7 @@
 
     /** Returns the clocks that {@link #advance} moves. */
     public TimeSource timeSource() {
-        return new TimeSource(() -> Duration.ofMillis(nowMillis).toNanos(), () -> nowMillis);
+        return new TimeSource(() -> Duration.ofMillis(nowMillis).toNanos(), () -> nowMillis + wallClockOffsetMillis);
     }
 
     /** Advances the clock without running due actions, as when a host is paused. */
@@ -31,6 +32,11 @@
         nowMillis += millis;
     }
 
+    /** Steps the wall clock alone, forward or back, as when it is set. */
+    public void stepWallClock(long millis) {
+        wallClockOffsetMillis += millis;
+    }
+
     /** Advances the clock in steps of a millisecond and runs the actions that become due. */
     public void advance(long millis) {
         long end = nowMillis + millis;
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.BestEffortTimings;
@@ -16,6 +17,7 @@
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.Event;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
@@ -35,17 +37,22 @@
 public final class BestEffortAgentTest {
     private static final MemberName ENTRY = MemberName.of("entry");
     private static final AvailabilityZone ZONE = AvailabilityZone.of("sofia");
+    private static final Member ENTRY_MEMBER = new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1);
     private static final BestEffortTaskId TASK = BestEffortTaskId.of(JobId.of("00000000000000aa"), 0);
+    private static final JobId OTHER_JOB = JobId.of("00000000000000bb");
     private static final long STARTED_AT_MILLIS = 1;
 
     /** A worker that starts every task, unless its connections are closed, and lists its tasks when the test says so. */
     private static final class ManualWorker implements WorkerClient {
+        private final List<BestEffortTaskId> started = new ArrayList<>();
+        private final List<BestEffortTaskId> stopped = new ArrayList<>();
         private CompletableFuture<TaskListing> renewal = new CompletableFuture<>();
         private boolean closesConnections;
 
         @Override
         public CompletableFuture<StartResponse> start(
                 BestEffortTaskId task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
+            started.add(task);
             return closesConnections
                     ? CompletableFuture.failedFuture(new IOException("the connection was closed"))
                     : CompletableFuture.completedFuture(new StartResponse(StartStatus.STARTED, 0));
@@ -53,6 +60,7 @@
 
         @Override
         public CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken) {
+            stopped.add(task);
             return CompletableFuture.completedFuture(null);
         }
 
@@ -69,6 +77,7 @@
         }
     }
 
+    private final List<Event> events = new ArrayList<>();
     private ManualExecutor executor;
     private ManualWorker worker;
     private RecordingConnection entry;
@@ -77,6 +86,7 @@
 
     @BeforeMethod
     public void startAnAgentWithAWorkerAndAnEntry() {
+        events.clear();
         executor = new ManualExecutor();
         worker = new ManualWorker();
         entry = RecordingConnection.create();
@@ -85,10 +95,10 @@
                 executor.timeSource(),
                 worker,
                 RoutingStateCache.create((event, details) -> {}),
-                (event, details) -> {});
+                (event, details) -> events.add(event));
         agent.start();
         entryEchoesHeartbeats = true;
-        agent.memberConnected(new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1), entry);
+        agent.memberConnected(ENTRY_MEMBER, entry);
         confirmContact();
         executor.scheduleWithFixedDelay(BestEffortTimings.CONNECTION_CHECK_INTERVAL, () -> {
             if (entryEchoesHeartbeats) {
@@ -118,12 +128,16 @@
     }
 
     private void assignTask() {
+        assignTask(TASK);
+    }
+
+    private void assignTask(BestEffortTaskId task) {
         TaskAssignment assignment = new TaskAssignment(
-                TASK,
+                task,
                 RunNumber.FIRST,
                 "text",
                 Resources.of(3000, 10, 0),
-                Duration.ofMillis(100),
+                Duration.ofSeconds(2),
                 Duration.ofMillis(500),
                 Duration.ofMillis(100),
                 true);
@@ -168,6 +182,29 @@
                 && report.workerStatus().acceptsTasks());
     }
 
+    // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
+    @Test
+    public void aPauseIsDetectedAlthoughTheWallClockWasSetBackMeanwhile() {
+        executor.advanceClockOnly(5000);
+        executor.stepWallClock(-5000);
+        executor.advance(200);
+        assertTrue(events.contains(Event.PROCESS_PAUSED));
+    }
+
+    // Guards against two runs of one task: a result that waited while its agent was paused let a waiting task start
+    // before the pause was noticed.
+    @Test
+    public void aWaitingTaskDoesNotStartWhenAResultIsFoundAfterAPause() {
+        assignTask(TASK);
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 1));
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 2));
+        int startedBefore = worker.started.size();
+        executor.advanceClockOnly(460);
+        worker.completeRenewal(new FinishedTask(1, TASK, RunNumber.FIRST, RunOutcome.DONE));
+        assertEquals(worker.started.size(), startedBefore);
+        assertTrue(reportedOutcomes().contains(RunOutcome.NOT_STARTED));
+    }
+
     @Test
     public void entriesImmediatelyReceiveTheStatusOfANewWorker() {
         agent.workerLeft("worker");
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -141,4 +141,14 @@
         executor.advance(200);
         assertEquals(outcome.join().verdict(), Verdict.MAY_HAVE_RUN);
     }
+
+    // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
+    @Test
+    public void anEntryThatWasPausedAbandonsItsActiveJobsAlthoughTheWallClockWasSetBackMeanwhile() {
+        CompletableFuture<BestEffortOutcome> outcome = submit("00000000000000a7", new CompletableFuture<>());
+        executor.advanceClockOnly(4000);
+        executor.stepWallClock(-4000);
+        executor.advance(200);
+        assertEquals(outcome.thenApply(BestEffortOutcome::verdict).getNow(Verdict.COMPLETED), Verdict.MAY_HAVE_RUN);
+    }
 }
--- a/src/test/java/org/gypsumflow/traffic/RecordingConnection.java
+++ b/src/test/java/org/gypsumflow/traffic/RecordingConnection.java
@@ -2,13 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.model.Message;
 
-/** Test connection that records the messages sent on it. */
-record RecordingConnection(List<Message> sent) implements Connection {
+/** Test connection that records the messages sent on it and whether it was closed. */
+record RecordingConnection(List<Message> sent, AtomicBoolean closed) implements Connection {
     static RecordingConnection create() {
-        return new RecordingConnection(new ArrayList<>());
+        return new RecordingConnection(new ArrayList<>(), new AtomicBoolean());
     }
 
     @Override
@@ -17,5 +18,7 @@
     }
 
     @Override
-    public void close() {}
+    public void close() {
+        closed.set(true);
+    }
 }
