Start nothing that an entry assigned on a connection that has ended

An agent accepted assignments of any entry, also of one whose connection had ended and whose tasks it had just stopped.

Before the fix BestEffortAgentTest.anAssignmentOfAnEntryThatIsNotConnectedDoesNotStart printed "lists don't have the same size expected [0] but found [1]".

--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -22,6 +22,7 @@
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
+import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
@@ -244,7 +245,7 @@
         executor.execute(() -> {
             long now = time.nanoTime();
             if (message instanceof AssignTasks request) {
-                request.assignments().forEach(assignment -> scheduler.assign(from, assignment, now));
+                assign(from, request.assignments(), now);
             } else if (message instanceof StopTasks stop) {
                 scheduler.stop(from, stop.job(), stop.indexes(), now);
             }
@@ -259,6 +260,14 @@
         }
     }
 
+    private void assign(MemberName from, List<TaskAssignment> assignments, long now) {
+        if (!entries.containsKey(from)) {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "not connected");
+            return;
+        }
+        assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
+    }
+
     private void tick() {
         scheduler.tick(time.nanoTime()).forEach(this::logStalled);
         workerSession.executeActions();
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -182,6 +182,14 @@
                 && report.workerStatus().acceptsTasks());
     }
 
+    // Guards against two runs of one task: an agent started what an entry had assigned on a connection that had ended.
+    @Test
+    public void anAssignmentOfAnEntryThatIsNotConnectedDoesNotStart() {
+        agent.memberDisconnected(ENTRY_MEMBER, executor.timeSource().nanoTime());
+        assignTask();
+        assertEquals(worker.started, List.of());
+    }
+
     // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
     @Test
     public void aPauseIsDetectedAlthoughTheWallClockWasSetBackMeanwhile() {
