Return assignments that are found after a pause

A paused agent found assignments in its buffers and started them, before it handled the end of the connection on which they had come. It now accepts an entry's assignments only while its contact with that entry is confirmed: the newest heartbeat that the entry is known to have received was sent within the last 700 ms, and after the last pause that was detected. Others are returned as NOT_STARTED at once, and the worker status for that entry says that no tasks are accepted until the next echo.

Before the fix BestEffortAgentTest.anAssignmentFoundAfterAPauseIsReturnedUntilAHeartbeatSentAfterItIsEchoed printed "lists don't have the same size expected [0] but found [1]".

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -30,6 +30,11 @@
     public static final Duration HEARTBEAT_IDLE_TIME_WITHOUT_ECHOES = Duration.ofMillis(350);
     /** Time without a message after which a connection counts as lost: three heartbeats, so that one may be late. */
     public static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(600);
+    /**
+     * Time since the send of the newest heartbeat that an entry is known to have received, after which an agent accepts
+     * no more assignments of it and stops its runs: two heartbeats among many connections, so that one may be lost.
+     */
+    public static final Duration CONFIRMED_CONTACT_LIMIT = Duration.ofMillis(700);
     /** How long a worker runs tasks without a renewal; below the platform's limit of one second for leases. */
     public static final Duration LEASE_DURATION = Duration.ofMillis(900);
     /** Maximum time that a worker needs to stop a task, guaranteed by the platform. */
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -139,7 +139,28 @@
             double slowdown,
             double overdueSlowdown,
             double failureRate,
-            int runningTasks) {}
+            int runningTasks) {
+        /**
+         * Returns the status for an entry whose assignments would be returned.
+         *
+         * @return this status, with {@code acceptsTasks} false
+         */
+        public WorkerStatus withoutAcceptance() {
+            return new WorkerStatus(
+                    false,
+                    service,
+                    zone,
+                    capacity,
+                    uncommitted,
+                    idle,
+                    assignedByReceiver,
+                    meanRunDuration,
+                    slowdown,
+                    overdueSlowdown,
+                    failureRate,
+                    runningTasks);
+        }
+    }
 
     /**
      * Forwards the routes and closed zones that the sender knows, so that all members converge to the latest ones.
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -28,6 +28,7 @@
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.WorkerReport;
 
 /**
@@ -55,6 +56,11 @@
             this.connection = connection;
             this.connectedNanos = connectedNanos;
         }
+
+        /** Returns whether a heartbeat was confirmed, and the newest one was sent at the given time or later. */
+        private boolean isConfirmedSince(long nanos) {
+            return confirmedSentNanos.isPresent() && confirmedSentNanos.getAsLong() - nanos >= 0;
+        }
     }
 
     /** Runs a check before each action, since the process may have been paused since the last one. */
@@ -87,6 +93,7 @@
     private final Map<MemberName, ConnectedEntry> entries = new HashMap<>();
     private final Map<MemberName, List<RunResult>> resultsByEntry = new HashMap<>();
     private CompletableFuture<Void> drained;
+    private OptionalLong lastPauseNanos = OptionalLong.empty();
     private long lastStatusLogNanos;
     private boolean stopped;
 
@@ -181,7 +188,7 @@
             workerSession.executeActions();
             entries.forEach((name, entry) -> {
                 if (entry.confirmedSentNanos.isPresent()) {
-                    sendReport(entry, List.of(), scheduler.workerStatusFor(name, time.nanoTime()));
+                    sendReport(entry, List.of(), statusFor(name, entry));
                 }
             });
         });
@@ -217,13 +224,13 @@
         executor.execute(() -> {
             ConnectedEntry entry = entries.get(member);
             // A heartbeat from before this connection was confirmed on an earlier one.
-            if (entry == null || sentAtNanos - entry.connectedNanos < 0) {
+            if (entry == null || sentAtNanos - entry.connectedNanos < 0 || entry.isConfirmedSince(sentAtNanos)) {
                 return;
             }
-            boolean first = entry.confirmedSentNanos.isEmpty();
+            boolean hadContact = hasConfirmedContact(entry);
             entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
-            if (first) {
-                sendReport(entry, List.of(), scheduler.workerStatusFor(member, time.nanoTime()));
+            if (!hadContact && hasConfirmedContact(entry)) {
+                sendReport(entry, List.of(), statusFor(member, entry));
             }
         });
     }
@@ -261,11 +268,33 @@
     }
 
     private void assign(MemberName from, List<TaskAssignment> assignments, long now) {
-        if (!entries.containsKey(from)) {
+        ConnectedEntry entry = entries.get(from);
+        if (entry == null) {
             events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "not connected");
-            return;
+        } else if (hasConfirmedContact(entry)) {
+            assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
+        } else {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "no confirmed contact");
+            sendReport(entry, notStarted(assignments), statusFor(from, entry));
         }
-        assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
+    }
+
+    private static List<RunResult> notStarted(List<TaskAssignment> assignments) {
+        return assignments.stream()
+                .map(assignment ->
+                        new RunResult(assignment.task(), assignment.runNumber(), RunOutcome.NOT_STARTED, Duration.ZERO))
+                .toList();
+    }
+
+    /** Returns whether the entry certainly received a heartbeat recently, and since the last pause of this process. */
+    private boolean hasConfirmedContact(ConnectedEntry entry) {
+        return entry.isConfirmedSince(time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos())
+                && (lastPauseNanos.isEmpty() || entry.isConfirmedSince(lastPauseNanos.getAsLong()));
+    }
+
+    private WorkerStatus statusFor(MemberName name, ConnectedEntry entry) {
+        WorkerStatus status = scheduler.workerStatusFor(name, time.nanoTime());
+        return hasConfirmedContact(entry) ? status : status.withoutAcceptance();
     }
 
     private void tick() {
@@ -304,6 +333,7 @@
     private void detectPause() {
         pauseDetector.detect().ifPresent(pause -> {
             events.write(Event.PROCESS_PAUSED, pause.toMillis());
+            lastPauseNanos = OptionalLong.of(time.nanoTime());
             scheduler.processPaused(time.nanoTime());
             workerSession.executeActions();
         });
@@ -313,7 +343,7 @@
         resultsByEntry.forEach((name, results) -> {
             ConnectedEntry entry = entries.get(name);
             if (entry != null) {
-                sendReport(entry, results, scheduler.workerStatusFor(name, time.nanoTime()));
+                sendReport(entry, results, statusFor(name, entry));
             }
         });
         resultsByEntry.clear();
@@ -341,7 +371,7 @@
         if (entry.confirmedSentNanos.isEmpty()) {
             return;
         }
-        WorkerStatus status = scheduler.workerStatusFor(name, time.nanoTime());
+        WorkerStatus status = statusFor(name, entry);
         long sinceLastReport = time.nanoTime() - entry.lastReportNanos;
         long minInterval =
                 BestEffortTimings.REPORT_INTERVAL.toNanos() * (entries.size() / BestEffortTimings.ENTRIES_AT_FULL_RATE);
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -182,6 +182,22 @@
                 && report.workerStatus().acceptsTasks());
     }
 
+    // Guards against two runs of one task: an assignment that waited in the buffers while its agent was paused started
+    // after the entry had assigned the task elsewhere.
+    @Test
+    public void anAssignmentFoundAfterAPauseIsReturnedUntilAHeartbeatSentAfterItIsEchoed() {
+        long beforePauseNanos = executor.timeSource().nanoTime();
+        executor.advanceClockOnly(500);
+        assignTask();
+        agent.contactConfirmed(ENTRY, beforePauseNanos);
+        assignTask();
+        assertEquals(worker.started, List.of());
+        assertEquals(reportedOutcomes(), List.of(RunOutcome.NOT_STARTED, RunOutcome.NOT_STARTED));
+        confirmContact();
+        assignTask();
+        assertEquals(worker.started, List.of(TASK));
+    }
+
     // Guards against two runs of one task: an agent started what an entry had assigned on a connection that had ended.
     @Test
     public void anAssignmentOfAnEntryThatIsNotConnectedDoesNotStart() {
