Stop the runs of an entry that confirms no contact

An agent whose messages did not reach the entry went on until the entry closed the connection, on time or late, and until that closing arrived; the entry meanwhile counted from the last message that it had received. The agent now drops an entry when the newest heartbeat that the entry is known to have received was sent more than 700 ms ago: it closes the connection and stops the entry's tasks, on the traffic thread, which also renews the lease, and before each of that thread's actions. A held-up control thread, on either side, does not delay this. After a pause of more than 700 ms by either clock every entry is dropped, since the monotonic clock may have stood still.

Before the fix: runsAreStoppedWhenTheEntryReceivesNothingAlthoughItsMessagesArriveAndItDoesNotClose: 750 ms without an echo expected [false] but found [true] runsAreStoppedAfterASuspensionThatTheMonotonicClockDidNotCount: lists don't have the same size expected [1] but found [0] runsAreStoppedWithinACheckIntervalAfterTheConfirmedContactEnded and runsGoOnWhileTheEntryEchoesHeartbeats were added with the fix and not run before it.

--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.gypsumflow.command.AgentScheduler;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.StalledRun;
@@ -63,7 +64,7 @@
         }
     }
 
-    /** Runs a check before each action, since the process may have been paused since the last one. */
+    /** Runs a check before each action, since time may have passed since the last one. */
     private record CheckingExecutor(SerialExecutor executor, Runnable check) implements SerialExecutor {
         @Override
         public void execute(Runnable action) {
@@ -84,6 +85,9 @@
     }
 
     private final SerialExecutor executor;
+    /** Leaves out the check of contacts, which a confirmation that waits in the queue may renew. */
+    private final SerialExecutor confirmationExecutor;
+
     private final TimeSource time;
     private final EventLog events;
     private final RoutingStateCache routingState;
@@ -103,7 +107,8 @@
             WorkerClient worker,
             RoutingStateCache routingState,
             EventLog events) {
-        this.executor = new CheckingExecutor(executor, this::detectPause);
+        this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
+        this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
         this.time = time;
         this.events = events;
         this.routingState = routingState;
@@ -221,7 +226,7 @@
 
     @Override
     public void contactConfirmed(MemberName member, long sentAtNanos) {
-        executor.execute(() -> {
+        confirmationExecutor.execute(() -> {
             ConnectedEntry entry = entries.get(member);
             // A heartbeat from before this connection was confirmed on an earlier one.
             if (entry == null || sentAtNanos - entry.connectedNanos < 0 || entry.isConfirmedSince(sentAtNanos)) {
@@ -239,14 +244,34 @@
     public void memberDisconnected(Member member, long lastMessageNanos) {
         executor.execute(() -> {
             entries.remove(member.name());
-            int stoppedTasks = scheduler.stopAllOf(member.name(), time.nanoTime());
-            if (stoppedTasks > 0) {
-                events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, member.name(), "connection lost");
-            }
-            workerSession.executeActions();
+            stopTasksOf(member.name(), "connection lost");
         });
     }
 
+    private void stopTasksOf(MemberName entry, String reason) {
+        int stoppedTasks = scheduler.stopAllOf(entry, time.nanoTime());
+        if (stoppedTasks > 0) {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, entry, reason);
+        }
+        workerSession.executeActions();
+    }
+
+    /** Stops the tasks of entries that may not have received anything for too long, whatever they send. */
+    private void dropEntriesWithoutContact() {
+        long limitNanos = time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos();
+        dropEntries(entry -> !entry.isConfirmedSince(limitNanos));
+    }
+
+    /** Drops those of the entries that ever confirmed contact; the others have no tasks here. */
+    private void dropEntries(Predicate<ConnectedEntry> which) {
+        List<MemberName> dropped = entries.entrySet().stream()
+                .filter(entry -> entry.getValue().confirmedSentNanos.isPresent() && which.test(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        dropped.forEach(name -> entries.remove(name).connection.close());
+        dropped.forEach(name -> stopTasksOf(name, "no confirmed contact"));
+    }
+
     @Override
     public void jobMessageReceived(MemberName from, BestEffortMessage message) {
         executor.execute(() -> {
@@ -335,6 +360,10 @@
             events.write(Event.PROCESS_PAUSED, pause.toMillis());
             lastPauseNanos = OptionalLong.of(time.nanoTime());
             scheduler.processPaused(time.nanoTime());
+            // The monotonic clock may have stood still, so that a contact from before the pause looks recent.
+            if (pause.compareTo(BestEffortTimings.CONFIRMED_CONTACT_LIMIT) > 0) {
+                dropEntries(entry -> true);
+            }
             workerSession.executeActions();
         });
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.traffic;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -15,6 +16,7 @@
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortMessage.StopTasks;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Event;
@@ -206,6 +208,44 @@
         assertEquals(worker.started, List.of());
     }
 
+    // Guards against two runs of one task: an agent whose messages did not reach the entry went on until the entry
+    // closed the connection, however late.
+    @Test
+    public void runsAreStoppedWhenTheEntryReceivesNothingAlthoughItsMessagesArriveAndItDoesNotClose() {
+        assignTask();
+        entryEchoesHeartbeats = false;
+        confirmContact();
+        long limitMillis = BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toMillis();
+        long endMillis = limitMillis + BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis();
+        for (long elapsed = 0; elapsed < endMillis; elapsed += 50) {
+            assertEquals(worker.stopped.isEmpty(), elapsed <= limitMillis, elapsed + " ms without an echo");
+            executor.advance(50);
+            agent.jobMessageReceived(ENTRY, new StopTasks(OTHER_JOB, List.of(0)));
+        }
+        assertEquals(worker.stopped, List.of(TASK));
+        assertTrue(entry.closed().get());
+    }
+
+    // Guards against two runs of one task: as above, while nothing arrives from the entry either.
+    @Test
+    public void runsAreStoppedWithinACheckIntervalAfterTheConfirmedContactEnded() {
+        assignTask();
+        entryEchoesHeartbeats = false;
+        confirmContact();
+        executor.advance(BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toMillis());
+        assertEquals(worker.stopped, List.of());
+        executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
+        assertEquals(worker.stopped, List.of(TASK));
+    }
+
+    @Test
+    public void runsGoOnWhileTheEntryEchoesHeartbeats() {
+        assignTask();
+        executor.advance(1500);
+        assertEquals(worker.stopped, List.of());
+        assertFalse(entry.closed().get());
+    }
+
     // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
     @Test
     public void aPauseIsDetectedAlthoughTheWallClockWasSetBackMeanwhile() {
@@ -215,6 +255,16 @@
         assertTrue(events.contains(Event.PROCESS_PAUSED));
     }
 
+    // Guards against two runs of one task: the monotonic clock of a suspended host may stand still, so that a contact
+    // from before the suspension looked recent.
+    @Test
+    public void runsAreStoppedAfterASuspensionThatTheMonotonicClockDidNotCount() {
+        assignTask();
+        executor.stepWallClock(5000);
+        executor.advance(100);
+        assertEquals(worker.stopped, List.of(TASK));
+    }
+
     // Guards against two runs of one task: a result that waited while its agent was paused let a waiting task start
     // before the pause was noticed.
     @Test
