Count the reassignment from the contact that the agent knows to be confirmed

REASSIGN_AFTER_LAST_MESSAGE was 1,600 ms: both heartbeat timeouts and the stop, which held only if the entry closed the connection on time and the worker confirmed the stop. It is 2,150 ms now: 700 ms confirmed contact, 150 ms until the agent checks it, 200 ms for the worker to confirm the stops and a lease of 900 ms, all by clocks that are 2 % slow, then 60 ms for the estimate of the worker's clock and 50 ms for the stop, 2,100 ms in all. The arithmetic that was checked before is still checked, unchanged.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -5,14 +5,24 @@
 /**
  * Intervals and timeouts that detect lost members and decide when a best-effort task may be assigned again.
  *
- * <p>They satisfy one inequality: a task may start elsewhere only when it can no longer run where it was. Either side
- * of a connection detects a timeout of {@link #HEARTBEAT_TIMEOUT} at its next check, at most
- * {@link #CONNECTION_CHECK_INTERVAL} later. If only the direction to the entry is interrupted, the agent receives
- * messages until the entry closes the connection; if the other direction is interrupted at that moment, the agent
- * needs the same time again, and its worker then {@link #MAX_STOP_TIME}. A paused agent cannot renew the worker's
- * lease, so the worker stops the tasks {@link #LEASE_DURATION} after the last renewal, by a clock that may be slow by
- * 2 %. Therefore {@link #REASSIGN_AFTER_LAST_MESSAGE}, counted from the last message that the entry received, exceeds
- * both sums.
+ * <p>They satisfy one inequality: a task may start elsewhere only when it can no longer run where it was. Both sides of
+ * a connection count from one event, whichever direction is interrupted and however late a closing arrives: the agent
+ * from its send of the newest heartbeat that the entry is known to have received, and the entry from its last receipt,
+ * which is later than that send. After the send:
+ *
+ * <ol>
+ *   <li>the contact ends after {@link #CONFIRMED_CONTACT_LIMIT}; the agent accepts no more assignments of the entry;
+ *   <li>the agent notices at most {@link #CONNECTION_CHECK_INTERVAL} later and stops the entry's runs;
+ *   <li>if the worker has not confirmed a stop {@link #STOP_CONFIRMATION_TIMEOUT} later, the agent no longer renews the
+ *       lease;
+ *   <li>the lease ends {@link #LEASE_DURATION} after the last request, or 60 ms later, for the agent's estimate of the
+ *       worker's clock;
+ *   <li>the worker stops its runs within {@link #MAX_STOP_TIME}.
+ * </ol>
+ *
+ * <p>All clocks may be slow by 2 %: (700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,100 ms. A paused agent makes no request
+ * after the pause has begun, which is at most {@link #CONNECTION_CHECK_INTERVAL} after the end of the contact if it had
+ * not noticed that yet, so that its lease ends earlier. {@link #REASSIGN_AFTER_LAST_MESSAGE} exceeds the sum.
  */
 public final class BestEffortTimings {
     /** Time between checks of the connections; four checks fit into the heartbeat timeout. */
@@ -39,8 +49,10 @@
     public static final Duration LEASE_DURATION = Duration.ofMillis(900);
     /** Maximum time that a worker needs to stop a task, guaranteed by the platform. */
     public static final Duration MAX_STOP_TIME = Duration.ofMillis(50);
-    /** Time since the last message of an agent after which its tasks no longer run: both timeouts, then the stop. */
-    public static final Duration REASSIGN_AFTER_LAST_MESSAGE = Duration.ofMillis(1600);
+    /** Time within which a worker must confirm a stop before its agent lets the lease end. */
+    public static final Duration STOP_CONFIRMATION_TIMEOUT = Duration.ofMillis(200);
+    /** Time since the last message of an agent after which its tasks no longer run, by the sum above. */
+    public static final Duration REASSIGN_AFTER_LAST_MESSAGE = Duration.ofMillis(2150);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
     public static final Duration PAUSE_THRESHOLD = Duration.ofMillis(450);
     /** Time between unsolicited reports of a changing worker status: longer saves bytes, shorter avoids collisions. */
--- a/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
+++ b/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
@@ -3,12 +3,21 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import org.testng.annotations.Test;
 
 public final class BestEffortTimingsTest {
     /** Clocks of workers may be slow by 2 %, as stated by the platform. */
     private static final double CLOCK_DRIFT_FACTOR = 1.02;
 
+    private static final double SLOWEST_CLOCK_RATE = 0.98;
+
+    /** Maximum error of an agent's estimate of its worker's clock. */
+    private static final Duration LEASE_ESTIMATE_ERROR = Duration.ofMillis(60);
+
+    /** Time for a heartbeat, its echo and the delays of both processes. */
+    private static final Duration MAX_ROUND_TRIP_TIME = Duration.ofMillis(100);
+
     private static final Duration DETECTION_TIME =
             BestEffortTimings.HEARTBEAT_TIMEOUT.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
 
@@ -16,12 +25,73 @@
         return Duration.ofMillis((long) Math.ceil(BestEffortTimings.LEASE_DURATION.toMillis() * CLOCK_DRIFT_FACTOR));
     }
 
+    private static Duration bySlowClock(Duration duration) {
+        return Duration.ofMillis((long) Math.ceil(duration.toMillis() / SLOWEST_CLOCK_RATE));
+    }
+
+    /** Heartbeats are sent at the first check after the idle time. */
+    private static Duration heartbeatPeriod(Duration idleTime) {
+        long checks = idleTime.toMillis() / BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis() + 1;
+        return BestEffortTimings.CONNECTION_CHECK_INTERVAL.multipliedBy(checks);
+    }
+
     @Test
     public void aTaskIsReassignedOnlyAfterBothHeartbeatTimeoutsAndTheStopOfTheWorker() {
         Duration stoppedAfter = DETECTION_TIME.multipliedBy(2).plus(BestEffortTimings.MAX_STOP_TIME);
         assertTrue(BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.compareTo(stoppedAfter) >= 0);
     }
 
+    // Guards against two runs of one task: the agent counted from the messages that it received, the entry from those
+    // that it received from the agent.
+    @Test
+    public void aTaskIsReassignedOnlyAfterTheContactEndedAndTheStopFailedAndTheLeaseEnded() {
+        Duration agentTime = BestEffortTimings.CONFIRMED_CONTACT_LIMIT
+                .plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL)
+                .plus(BestEffortTimings.STOP_CONFIRMATION_TIMEOUT);
+        Duration runsEndedAfter = bySlowClock(agentTime.plus(BestEffortTimings.LEASE_DURATION))
+                .plus(LEASE_ESTIMATE_ERROR)
+                .plus(BestEffortTimings.MAX_STOP_TIME);
+        assertTrue(BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.compareTo(runsEndedAfter) > 0);
+    }
+
+    @Test
+    public void aTaskIsReassignedOnlyAfterTheLeaseEndedOfAnAgentPausedWhenItsContactEnded() {
+        Duration lastRequestAfter =
+                BestEffortTimings.CONFIRMED_CONTACT_LIMIT.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
+        Duration runsEndedAfter = bySlowClock(lastRequestAfter.plus(BestEffortTimings.LEASE_DURATION))
+                .plus(LEASE_ESTIMATE_ERROR)
+                .plus(BestEffortTimings.MAX_STOP_TIME);
+        assertTrue(BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.compareTo(runsEndedAfter) > 0);
+    }
+
+    @Test
+    public void anAgentChecksItsContactsAtEveryReportWithinTheCheckInterval() {
+        assertTrue(BestEffortTimings.REPORT_INTERVAL.compareTo(BestEffortTimings.CONNECTION_CHECK_INTERVAL) < 0);
+    }
+
+    @Test
+    public void oneLostHeartbeatDoesNotEndTheContactAtEitherRate() {
+        for (Duration idleTime : List.of(
+                BestEffortTimings.HEARTBEAT_IDLE_TIME, BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS)) {
+            Duration ageAtSecondEcho = heartbeatPeriod(idleTime).multipliedBy(2).plus(MAX_ROUND_TRIP_TIME);
+            assertTrue(ageAtSecondEcho.compareTo(BestEffortTimings.CONFIRMED_CONTACT_LIMIT) <= 0, idleTime.toString());
+        }
+    }
+
+    @Test
+    public void anEntryThatHasNothingToEchoStillSendsAHeartbeatWithinTheTimeout() {
+        Duration maxHeartbeatGap =
+                BestEffortTimings.HEARTBEAT_IDLE_TIME_WITHOUT_ECHOES.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
+        assertTrue(maxHeartbeatGap.compareTo(BestEffortTimings.HEARTBEAT_TIMEOUT) < 0);
+    }
+
+    @Test
+    public void anEntryThatEchoesEveryHeartbeatSendsNoOther() {
+        assertTrue(heartbeatPeriod(BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS)
+                        .compareTo(BestEffortTimings.HEARTBEAT_IDLE_TIME_WITHOUT_ECHOES)
+                < 0);
+    }
+
     @Test
     public void oneLateHeartbeatAmongManyConnectionsCausesNoTimeout() {
         Duration maxHeartbeatGap = BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS.plus(
@@ -55,5 +125,8 @@
     public void tasksOfACrashedEntryAreStoppedBeforeItsCallersRetryTheirJobs() {
         Duration callerRetryDelay = Duration.ofMillis(1300);
         assertTrue(DETECTION_TIME.plus(BestEffortTimings.MAX_STOP_TIME).compareTo(callerRetryDelay) < 0);
+        Duration contactDetectionTime =
+                BestEffortTimings.CONFIRMED_CONTACT_LIMIT.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
+        assertTrue(contactDetectionTime.plus(BestEffortTimings.MAX_STOP_TIME).compareTo(callerRetryDelay) < 0);
     }
 }
