--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.gypsumflow.command.AgentScheduler;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.StalledRun;
@@ -21,11 +23,13 @@
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
+import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.WorkerReport;
 
 /**
@@ -44,24 +48,56 @@
 
     private static final class ConnectedEntry {
         private final Connection connection;
+        private final long connectedNanos;
+        private OptionalLong confirmedSentNanos = OptionalLong.empty();
         private WorkerStatus lastStatus;
         private long lastReportNanos;
 
-        private ConnectedEntry(Connection connection) {
+        private ConnectedEntry(Connection connection, long connectedNanos) {
             this.connection = connection;
+            this.connectedNanos = connectedNanos;
+        }
+
+        /** Returns whether a heartbeat was confirmed, and the newest one was sent at the given time or later. */
+        private boolean isConfirmedSince(long nanos) {
+            return confirmedSentNanos.isPresent() && confirmedSentNanos.getAsLong() - nanos >= 0;
+        }
+    }
+
+    /** Runs a check before each action, since time may have passed since the last one. */
+    private record CheckingExecutor(SerialExecutor executor, Runnable check) implements SerialExecutor {
+        @Override
+        public void execute(Runnable action) {
+            executor.execute(checked(action));
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable action) {
+            executor.schedule(delay, checked(action));
+        }
+
+        private Runnable checked(Runnable action) {
+            return () -> {
+                check.run();
+                action.run();
+            };
         }
     }
 
     private final SerialExecutor executor;
+    /** Leaves out the check of contacts, which a confirmation that waits in the queue may renew. */
+    private final SerialExecutor confirmationExecutor;
+
     private final TimeSource time;
     private final EventLog events;
     private final RoutingStateCache routingState;
     private final AgentScheduler scheduler = AgentScheduler.create();
+    private final PauseDetector pauseDetector;
     private final WorkerSession workerSession;
     private final Map<MemberName, ConnectedEntry> entries = new HashMap<>();
     private final Map<MemberName, List<RunResult>> resultsByEntry = new HashMap<>();
     private CompletableFuture<Void> drained;
-    private long lastTickMillis;
+    private OptionalLong lastPauseNanos = OptionalLong.empty();
     private long lastStatusLogNanos;
     private boolean stopped;
 
@@ -71,12 +107,14 @@
             WorkerClient worker,
             RoutingStateCache routingState,
             EventLog events) {
-        this.executor = executor;
+        this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
+        this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
         this.time = time;
         this.events = events;
         this.routingState = routingState;
+        this.pauseDetector = PauseDetector.create(time);
         this.workerSession = new WorkerSession(
-                executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
+                this.executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
     }
 
     /**
@@ -102,7 +140,7 @@
      * Starts the periodic work: expiry of queued assignments, detection of stalled tasks and pauses, status reports.
      */
     public void start() {
-        lastTickMillis = time.currentTimeMillis();
+        pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             tick();
             return !stopped;
@@ -153,8 +191,11 @@
         executor.execute(() -> {
             workerSession.workerReported(report);
             workerSession.executeActions();
-            entries.forEach(
-                    (name, entry) -> sendReport(entry, List.of(), scheduler.workerStatusFor(name, time.nanoTime())));
+            entries.forEach((name, entry) -> {
+                if (entry.confirmedSentNanos.isPresent()) {
+                    sendReport(entry, List.of(), statusFor(name, entry));
+                }
+            });
         });
     }
 
@@ -179,10 +220,23 @@
 
     @Override
     public void memberConnected(Member member, Connection connection) {
-        executor.execute(() -> {
-            ConnectedEntry entry = new ConnectedEntry(connection);
-            entries.put(member.name(), entry);
-            sendReport(entry, List.of(), scheduler.workerStatusFor(member.name(), time.nanoTime()));
+        long connectedNanos = time.nanoTime();
+        executor.execute(() -> entries.put(member.name(), new ConnectedEntry(connection, connectedNanos)));
+    }
+
+    @Override
+    public void contactConfirmed(MemberName member, long sentAtNanos) {
+        confirmationExecutor.execute(() -> {
+            ConnectedEntry entry = entries.get(member);
+            // A heartbeat from before this connection was confirmed on an earlier one.
+            if (entry == null || sentAtNanos - entry.connectedNanos < 0 || entry.isConfirmedSince(sentAtNanos)) {
+                return;
+            }
+            boolean hadContact = hasConfirmedContact(entry);
+            entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
+            if (!hadContact && hasConfirmedContact(entry)) {
+                sendReport(entry, List.of(), statusFor(member, entry));
+            }
         });
     }
 
@@ -190,21 +244,40 @@
     public void memberDisconnected(Member member, long lastMessageNanos) {
         executor.execute(() -> {
             entries.remove(member.name());
-            int stoppedTasks = scheduler.stopAllOf(member.name(), time.nanoTime());
-            if (stoppedTasks > 0) {
-                events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, member.name(), "connection lost");
-            }
-            workerSession.executeActions();
+            stopTasksOf(member.name(), "connection lost");
         });
     }
 
+    private void stopTasksOf(MemberName entry, String reason) {
+        int stoppedTasks = scheduler.stopAllOf(entry, time.nanoTime());
+        if (stoppedTasks > 0) {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, entry, reason);
+        }
+        workerSession.executeActions();
+    }
+
+    /** Stops the tasks of entries that may not have received anything for too long, whatever they send. */
+    private void dropEntriesWithoutContact() {
+        long limitNanos = time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos();
+        dropEntries(entry -> !entry.isConfirmedSince(limitNanos));
+    }
+
+    /** Drops those of the entries that ever confirmed contact; the others have no tasks here. */
+    private void dropEntries(Predicate<ConnectedEntry> which) {
+        List<MemberName> dropped = entries.entrySet().stream()
+                .filter(entry -> entry.getValue().confirmedSentNanos.isPresent() && which.test(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        dropped.forEach(name -> entries.remove(name).connection.close());
+        dropped.forEach(name -> stopTasksOf(name, "no confirmed contact"));
+    }
+
     @Override
     public void jobMessageReceived(MemberName from, BestEffortMessage message) {
         executor.execute(() -> {
-            detectPause();
             long now = time.nanoTime();
             if (message instanceof AssignTasks request) {
-                request.assignments().forEach(assignment -> scheduler.assign(from, assignment, now));
+                assign(from, request.assignments(), now);
             } else if (message instanceof StopTasks stop) {
                 scheduler.stop(from, stop.job(), stop.indexes(), now);
             }
@@ -219,8 +292,37 @@
         }
     }
 
+    private void assign(MemberName from, List<TaskAssignment> assignments, long now) {
+        ConnectedEntry entry = entries.get(from);
+        if (entry == null) {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "not connected");
+        } else if (hasConfirmedContact(entry)) {
+            assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
+        } else {
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "no confirmed contact");
+            sendReport(entry, notStarted(assignments), statusFor(from, entry));
+        }
+    }
+
+    private static List<RunResult> notStarted(List<TaskAssignment> assignments) {
+        return assignments.stream()
+                .map(assignment ->
+                        new RunResult(assignment.task(), assignment.runNumber(), RunOutcome.NOT_STARTED, Duration.ZERO))
+                .toList();
+    }
+
+    /** Returns whether the entry certainly received a heartbeat recently, and since the last pause of this process. */
+    private boolean hasConfirmedContact(ConnectedEntry entry) {
+        return entry.isConfirmedSince(time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos())
+                && (lastPauseNanos.isEmpty() || entry.isConfirmedSince(lastPauseNanos.getAsLong()));
+    }
+
+    private WorkerStatus statusFor(MemberName name, ConnectedEntry entry) {
+        WorkerStatus status = scheduler.workerStatusFor(name, time.nanoTime());
+        return hasConfirmedContact(entry) ? status : status.withoutAcceptance();
+    }
+
     private void tick() {
-        detectPause();
         scheduler.tick(time.nanoTime()).forEach(this::logStalled);
         workerSession.executeActions();
         logWorkerStatus();
@@ -254,20 +356,23 @@
     }
 
     private void detectPause() {
-        long now = time.currentTimeMillis();
-        long gapMillis = now - lastTickMillis;
-        lastTickMillis = now;
-        if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis()) {
-            events.write(Event.PROCESS_PAUSED, gapMillis);
+        pauseDetector.detect().ifPresent(pause -> {
+            events.write(Event.PROCESS_PAUSED, pause.toMillis());
+            lastPauseNanos = OptionalLong.of(time.nanoTime());
             scheduler.processPaused(time.nanoTime());
-        }
+            // The monotonic clock may have stood still, so that a contact from before the pause looks recent.
+            if (pause.compareTo(BestEffortTimings.CONFIRMED_CONTACT_LIMIT) > 0) {
+                dropEntries(entry -> true);
+            }
+            workerSession.executeActions();
+        });
     }
 
     private void reportResults() {
         resultsByEntry.forEach((name, results) -> {
             ConnectedEntry entry = entries.get(name);
             if (entry != null) {
-                sendReport(entry, results, scheduler.workerStatusFor(name, time.nanoTime()));
+                sendReport(entry, results, statusFor(name, entry));
             }
         });
         resultsByEntry.clear();
@@ -292,7 +397,10 @@
     }
 
     private void reportIfChanged(MemberName name, ConnectedEntry entry) {
-        WorkerStatus status = scheduler.workerStatusFor(name, time.nanoTime());
+        if (entry.confirmedSentNanos.isEmpty()) {
+            return;
+        }
+        WorkerStatus status = statusFor(name, entry);
         long sinceLastReport = time.nanoTime() - entry.lastReportNanos;
         long minInterval =
                 BestEffortTimings.REPORT_INTERVAL.toNanos() * (entries.size() / BestEffortTimings.ENTRIES_AT_FULL_RATE);
