Count the time for a stop from when the loss of an entry was due to be noticed

A hole in the sum that the contact between agent and entry has to keep: an agent whose traffic thread was held up when the contact ended noticed it late, and gave a stop without effect 200 ms from then. It counts them now from 850 ms after the newest heartbeat that the entry is known to have received, so that the lease ends when the entry expects it.

theLeaseIsNotExtendedWhenTheLossOfTheEntryIsNoticedLate failed before ('expected [false] but found [true]') and passes now.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -307,17 +307,19 @@
      * Stops all tasks of an entry that is disconnected: it may assign them elsewhere.
      *
      * @param owner entry that assigned the tasks
+     * @param lostNanos monotonic time at which its loss was due to be noticed, not after the current time; the lease of
+     *     a run that does not stop is counted from it
      * @param nowNanos current monotonic time
      * @return number of its assignments, waiting ones included
      */
-    public int stopAllOf(MemberName owner, long nowNanos) {
+    public int stopAllOf(MemberName owner, long lostNanos, long nowNanos) {
         List<TrackedAssignment> owned = assignments.values().stream()
                 .filter(tracked -> tracked.owner.equals(owner))
                 .toList();
         owned.forEach(tracked -> {
             if (!tracked.ownerLost) {
                 tracked.ownerLost = true;
-                tracked.ownerLostNanos = nowNanos;
+                tracked.ownerLostNanos = lostNanos;
             }
             stop(tracked);
         });
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -62,6 +62,15 @@
         private boolean isConfirmedSince(long nanos) {
             return confirmedSentNanos.isPresent() && confirmedSentNanos.getAsLong() - nanos >= 0;
         }
+
+        /** Returns the time at which the loss of this entry was due to be noticed, at the latest the current time. */
+        private long lostNanos(long nowNanos) {
+            long dueNanos = confirmedSentNanos.orElse(nowNanos)
+                    + BestEffortTimings.CONFIRMED_CONTACT_LIMIT
+                            .plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL)
+                            .toNanos();
+            return dueNanos - nowNanos < 0 ? dueNanos : nowNanos;
+        }
     }
 
     /** Runs a check before each action, since time may have passed since the last one. */
@@ -175,7 +184,8 @@
     public CompletableFuture<Void> stopAllTasks() {
         CompletableFuture<Void> completion = new CompletableFuture<>();
         executor.execute(() -> {
-            entries.keySet().forEach(entry -> scheduler.stopAllOf(entry, time.nanoTime()));
+            long now = time.nanoTime();
+            entries.keySet().forEach(entry -> scheduler.stopAllOf(entry, now, now));
             workerSession.executeActions();
             completion.complete(null);
         });
@@ -243,15 +253,15 @@
     @Override
     public void memberDisconnected(Member member, long lastMessageNanos) {
         executor.execute(() -> {
-            entries.remove(member.name());
-            stopTasksOf(member.name(), "connection lost");
+            stopTasksOf(member.name(), entries.remove(member.name()), "connection lost");
         });
     }
 
-    private void stopTasksOf(MemberName entry, String reason) {
-        int stoppedTasks = scheduler.stopAllOf(entry, time.nanoTime());
+    private void stopTasksOf(MemberName name, ConnectedEntry entry, String reason) {
+        long now = time.nanoTime();
+        int stoppedTasks = scheduler.stopAllOf(name, entry == null ? now : entry.lostNanos(now), now);
         if (stoppedTasks > 0) {
-            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, entry, reason);
+            events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, name, reason);
         }
         workerSession.executeActions();
     }
@@ -268,8 +278,11 @@
                 .filter(entry -> entry.getValue().confirmedSentNanos.isPresent() && which.test(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
-        dropped.forEach(name -> entries.remove(name).connection.close());
-        dropped.forEach(name -> stopTasksOf(name, "no confirmed contact"));
+        dropped.forEach(name -> {
+            ConnectedEntry entry = entries.remove(name);
+            entry.connection.close();
+            stopTasksOf(name, entry, "no confirmed contact");
+        });
     }
 
     @Override
--- a/src/test/java/org/gypsumflow/command/AgentSchedulerTest.java
+++ b/src/test/java/org/gypsumflow/command/AgentSchedulerTest.java
@@ -214,7 +214,7 @@
         assign(1, 100);
         assign(2, 100);
         scheduler.drainActions();
-        assertEquals(scheduler.stopAllOf(ENTRY, millis(10)), 3);
+        assertEquals(scheduler.stopAllOf(ENTRY, millis(10), millis(10)), 3);
         assertEquals(scheduler.drainActions().runsToStop().size(), 2);
         assertEquals(scheduler.activeRunCount(), 2);
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -242,6 +242,20 @@
         assertFalse(worker.lastRenewalExtendsLease());
     }
 
+    // Guards against two runs of one task: an agent that noticed the loss of an entry late gave its runs as much time
+    // to
+    // stop as one that noticed it in time.
+    @Test
+    public void theLeaseIsNotExtendedWhenTheLossOfTheEntryIsNoticedLate() {
+        assignTask();
+        entryEchoesHeartbeats = false;
+        confirmContact();
+        executor.advance(BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toMillis());
+        executor.advanceClockOnly(BestEffortTimings.PAUSE_THRESHOLD.toMillis() - 10);
+        worker.completeRenewalWithRunning(TASK);
+        assertFalse(worker.lastRenewalExtendsLease());
+    }
+
     // Guards against two runs of one task: a restarted agent renewed the lease of a run that it did not know.
     @Test
     public void theLeaseIsNotExtendedWhileTheWorkerListsARunThatTheAgentDoesNotTrack() {
--- a/src/test/java/org/gypsumflow/traffic/ContactLossTest.java
+++ b/src/test/java/org/gypsumflow/traffic/ContactLossTest.java
@@ -157,7 +157,8 @@
                 Resources.of(8000, 1000, 0),
                 "rack",
                 false,
-                1));
+                1,
+                -1));
         renewal.complete(new TaskListing(WORKER_STARTED_AT_MILLIS, 0, List.of(), List.of()));
         entryConnections.maintainConnection(AGENT);
         advanceBoth(20);
