Confirm that a job was abandoned only when its runs have ended

An entry that was asked to abandon a job replied at once, after it had sent the stops, and the asking entry started the job 200 ms later. A stop that goes unanswered is repeated until the lease ends, and an agent may be out of contact: the 200 ms usually suffice and prove nothing. The abandoning entry now keeps the job as ending, until each run has a result from its agent or the agent is lost and the reassignment time has passed, and replies then. HANDOVER_DELAY is gone.

Before the change the tests printed: - anEntryConfirmsThatItAbandonedAJobOnlyAfterEveryRunHasEnded: expected [true] but found [false] (the reply came at once) - anEntryConfirmsThatItAbandonedAJobOfALostAgentOnlyAfterTheReassignmentTime: expected [true] but found [false]

The test aJobOwnedByAnotherEntryStartsOnlyAfterThatEntryHasAbandonedIt asserted the delay of 200 ms after the reply. It now asserts that nothing starts in the second before the reply and that the job starts with it, since the reply is the proof.

--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -3,13 +3,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.gypsumflow.command.EndingJobs.UnendedRun;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortOutcome;
+import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.RunNumber;
 
@@ -225,6 +229,24 @@
         return hasRun || !tasksByAgent().isEmpty();
     }
 
+    /**
+     * Returns the runs that may not have ended, each with the monotonic time in nanoseconds from which it can no longer
+     * be running, or empty while its agent is connected.
+     */
+    Map<UnendedRun, OptionalLong> unendedRuns() {
+        Map<UnendedRun, OptionalLong> unended = new HashMap<>();
+        tasksByAgent()
+                .forEach((agent, indexes) -> indexes.forEach(index -> {
+                    Task task = tasks[index];
+                    unended.put(
+                            new UnendedRun(BestEffortTaskId.of(job.id(), index), task.runNumber, agent),
+                            task.state == AssignmentState.UNKNOWN
+                                    ? OptionalLong.of(task.reassignAtNanos)
+                                    : OptionalLong.empty());
+                }));
+        return unended;
+    }
+
     private void requeue(int index) {
         tasks[index].state = AssignmentState.WAITING;
         tasks[index].runNumber = tasks[index].runNumber.next();
--- /dev/null
+++ b/src/main/java/org/gypsumflow/command/EndingJobs.java
@@ -0,0 +1,95 @@
+package org.gypsumflow.command;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.RunNumber;
+
+/**
+ * Best-effort jobs that have an outcome, while runs of their tasks have not ended yet.
+ *
+ * <p>A stop may be late or unanswered, so that the time since it was sent proves nothing. A run has ended when its
+ * agent has reported its result, or when its agent is lost and none of its tasks can still run. Until then the job must
+ * not start again, here or at another entry.
+ */
+final class EndingJobs {
+    /** A run that may not have ended yet. */
+    record UnendedRun(BestEffortTaskId task, RunNumber runNumber, MemberName agent) {}
+
+    private static final class EndingJob {
+        private final Map<UnendedRun, OptionalLong> endNanosByRun = new HashMap<>();
+        private final List<Runnable> endListeners = new ArrayList<>();
+    }
+
+    private final Map<JobId, EndingJob> jobs = new HashMap<>();
+    private final List<Runnable> dueListeners = new ArrayList<>();
+
+    /**
+     * Adds the runs of a job that has an outcome; does nothing if there are none.
+     *
+     * @param job id of the job
+     * @param runs runs that may not have ended, each with the monotonic time in nanoseconds from which it can no longer
+     *     be running, or empty while its agent is connected
+     */
+    void add(JobId job, Map<UnendedRun, OptionalLong> runs) {
+        if (!runs.isEmpty()) {
+            jobs.computeIfAbsent(job, id -> new EndingJob()).endNanosByRun.putAll(runs);
+        }
+    }
+
+    /** Runs an action once all runs of a job have ended: immediately if none is left. */
+    void whenEnded(JobId job, Runnable action) {
+        EndingJob ending = jobs.get(job);
+        if (ending == null) {
+            action.run();
+        } else {
+            ending.endListeners.add(action);
+        }
+    }
+
+    /** Records the end of a run that an agent reported; whatever its outcome, the run has ended. */
+    void recordResult(MemberName agent, RunResult result) {
+        JobId job = result.task().job();
+        EndingJob ending = jobs.get(job);
+        if (ending != null) {
+            ending.endNanosByRun.remove(new UnendedRun(result.task(), result.runNumber(), agent));
+            removeIfEnded(job, ending);
+        }
+    }
+
+    /** Records that an agent is lost, with the monotonic time from which none of its runs can still be running. */
+    void agentDisconnected(MemberName agent, long endNanos) {
+        jobs.values()
+                .forEach(ending -> ending.endNanosByRun.replaceAll((run, known) ->
+                        known.isEmpty() && run.agent().equals(agent) ? OptionalLong.of(endNanos) : known));
+    }
+
+    /** Removes the runs of lost agents that can no longer be running. */
+    void tick(long nowNanos) {
+        Map.copyOf(jobs).forEach((job, ending) -> {
+            ending.endNanosByRun
+                    .values()
+                    .removeIf(endNanos -> endNanos.isPresent() && nowNanos - endNanos.getAsLong() >= 0);
+            removeIfEnded(job, ending);
+        });
+    }
+
+    /** Runs the actions that wait for jobs which have ended since the last call. */
+    void runDueListeners() {
+        List<Runnable> due = List.copyOf(dueListeners);
+        dueListeners.clear();
+        due.forEach(Runnable::run);
+    }
+
+    private void removeIfEnded(JobId job, EndingJob ending) {
+        if (ending.endNanosByRun.isEmpty() && jobs.remove(job, ending)) {
+            dueListeners.addAll(ending.endListeners);
+        }
+    }
+}
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -52,6 +52,7 @@
 
     private final Map<JobId, ActiveJob> jobs = new HashMap<>();
     private final Map<JobId, ActiveJob> waitingJobs = new LinkedHashMap<>();
+    private final EndingJobs endingJobs = new EndingJobs();
     private final Map<ServiceName, Long> workersLastSeenNanos = new HashMap<>();
     private long lastRetryNanos;
     private long latestNanos;
@@ -148,6 +149,17 @@
         return finishEarly(id, BestEffortOutcome.mayHaveRun("no caller waits for this job at this entry any more"));
     }
 
+    /**
+     * Runs an action once no run of a job that has an outcome can still be running: immediately if there is none.
+     *
+     * @param id id of the job
+     * @param action what to do then, on the thread of the dispatcher; dropped together with the dispatcher if the proof
+     *     never comes
+     */
+    public void whenEnded(JobId id, Runnable action) {
+        endingJobs.whenEnded(id, action);
+    }
+
     /**
      * Returns whether a job is active at this entry.
      *
@@ -178,9 +190,11 @@
         latestNanos = nowNanos;
         Collection<ActiveJob> affected = new ArrayList<>();
         for (RunResult result : report.results()) {
+            endingJobs.recordResult(agent, result);
             applyResult(agent, result, nowNanos).ifPresent(affected::add);
         }
         capacityTracker.updateWorker(agent, report.workerStatus());
+        endingJobs.runDueListeners();
         affected.stream().distinct().forEach(activeJob -> place(activeJob, nowNanos));
         retryWaitingJobs(nowNanos);
     }
@@ -197,6 +211,7 @@
                 activeJob.markUnknown(index, reassignAtNanos);
             }
         }
+        endingJobs.agentDisconnected(agent, reassignAtNanos);
         capacityTracker.remove(agent);
     }
 
@@ -207,6 +222,8 @@
      */
     public void tick(long nowNanos) {
         latestNanos = nowNanos;
+        endingJobs.tick(nowNanos);
+        endingJobs.runDueListeners();
         retryWaitingJobs(nowNanos);
         for (ActiveJob activeJob : List.copyOf(jobs.values())) {
             if (nowNanos - activeJob.deadlineNanos() >= 0) {
@@ -455,6 +472,7 @@
             return;
         }
         waitingJobs.remove(activeJob.job().id());
+        endingJobs.add(activeJob.job().id(), activeJob.unendedRuns());
         activeJob.tasksByAgent().forEach((agent, indexes) -> {
             activeJob
                     .tasksAssignedTo(agent)
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -172,10 +172,11 @@
     record AbandonJob(JobId job, boolean cancelled) implements BestEffortMessage {}
 
     /**
-     * Confirms that the sender has abandoned a job and asked all agents to which it had assigned tasks to stop them.
+     * Confirms that the sender has abandoned a job and that no run of its tasks is left: for each one its agent has
+     * reported the end, or is lost for so long that the run cannot go on.
      *
      * @param job id of the job
-     * @param wasActive true if the job was active until now, so that its tasks may not have stopped yet
+     * @param wasActive true if the job was active when the request to abandon it came
      */
     record JobAbandoned(JobId job, boolean wasActive) implements BestEffortMessage {}
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -50,12 +50,6 @@
     /** A caller that waits for the outcome of a job; the future completes if it disconnects before. */
     private record Waiter(Consumer<BestEffortOutcome> callback, CompletableFuture<Void> disconnected) {}
 
-    /**
-     * Delay before a job that another entry abandoned is started here: 150 ms for the stops to reach the agents, then
-     * the maximum time that the workers need to stop the tasks.
-     */
-    private static final Duration HANDOVER_DELAY = BestEffortTimings.MAX_STOP_TIME.plusMillis(150);
-
     private final SerialExecutor executor;
     private final TimeSource time;
     private final EventLog events;
@@ -198,10 +192,7 @@
         executor.whenDone(abandoned, (wasActive, failure) -> {
             pendingHandovers.remove(job.id(), abandoned);
             jobOwners.remove(job.id());
-            Duration delay = wasActive ? HANDOVER_DELAY : Duration.ZERO;
-            Duration remainingAfterHandover =
-                    remainingTime.minusNanos(time.nanoTime() - requestedNanos).minus(delay);
-            executor.schedule(delay, () -> startJob(job, remainingAfterHandover, waiter));
+            startJob(job, remainingTime.minusNanos(time.nanoTime() - requestedNanos), waiter);
         });
     }
 
@@ -337,7 +328,8 @@
         boolean wasActive = request.cancelled() ? dispatcher.cancel(request.job()) : dispatcher.abandon(request.job());
         Connection peer = peers.get(from);
         if (peer != null) {
-            peer.send(new JobAbandoned(request.job(), wasActive));
+            JobAbandoned reply = new JobAbandoned(request.job(), wasActive);
+            dispatcher.whenEnded(request.job(), () -> peer.send(reply));
         }
     }
 
