Start a job that comes again to the same entry only when its former runs have ended

A job that was cancelled, or abandoned since its deadline passed, its caller disconnected or the process was paused, started at once when it was submitted again at the same entry, while the stops of its runs could be under way; and its run numbers began at 1 again, so that a late result of a former run could count for a new one. The new life now waits for the end of the former runs, on the same proof as for another entry, and its run numbers go on. While it waits its own deadline holds; if the time left does not suffice, the outcome is at once that the job may have run, not that it has not.

Before the change the tests printed: - aJobSubmittedAgainWhileItsFormerRunsAreStoppingStartsOnlyAfterTheirEnd: expected [true] but found [false] - aJobSubmittedAgainWhileAnAgentOfItsFormerRunsIsLostStartsAfterTheReassignmentTime: expected [1] but found [2] - aJobThatIsCancelledWhileItWaitsForTheEndOfItsFormerRunsDoesNotStart: expected [1] but found [2] - resultsOfFormerRunsDoNotCountForAJobSubmittedAgain: expected [true] but found [false] - runNumbersGoOnAfterTheFormerRunsHaveEnded: expected [2] but found [1] - aJobSubmittedAgainMayHaveRunIfItsTimeCannotSufficeAfterTheEndOfItsFormerRuns: Index 0 out of bounds for length 0 (no outcome)

--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,11 +38,15 @@
 
     private static final class Task {
         private AssignmentState state = AssignmentState.WAITING;
-        private RunNumber runNumber = RunNumber.FIRST;
+        private RunNumber runNumber;
         private MemberName agent;
         private int failureCount;
         private Duration runDuration;
         private long reassignAtNanos;
+
+        private Task(RunNumber firstRunNumber) {
+            this.runNumber = firstRunNumber;
+        }
     }
 
     private final BestEffortJob job;
@@ -53,12 +58,19 @@
     private boolean hasRun;
     private int assignmentCount;
 
-    ActiveJob(BestEffortJob job, long acceptedNanos, long deadlineNanos) {
+    /**
+     * Creates a job of which nothing has started in this life.
+     *
+     * @param firstRunNumber number of the first run of each task, higher than those of its runs in former lives
+     * @param mayHaveRun true if parts of the job may be running from a former life
+     */
+    ActiveJob(BestEffortJob job, long acceptedNanos, long deadlineNanos, RunNumber firstRunNumber, boolean mayHaveRun) {
         this.job = job;
         this.acceptedNanos = acceptedNanos;
         this.deadlineNanos = deadlineNanos;
         this.tasks = new Task[job.taskCount()];
-        Arrays.setAll(tasks, index -> new Task());
+        this.hasRun = mayHaveRun;
+        Arrays.setAll(tasks, index -> new Task(firstRunNumber));
     }
 
     BestEffortJob job() {
@@ -247,6 +259,20 @@
         return unended;
     }
 
+    /** Returns whether every assignment of a task has ended with its success, so that no result can come late. */
+    boolean hasOnlySuccessfulRuns() {
+        return assignmentCount == doneCount;
+    }
+
+    /** Returns a run number that is higher than those of all runs of the tasks. */
+    RunNumber nextRunNumber() {
+        return Arrays.stream(tasks)
+                .map(task -> task.runNumber)
+                .max(Comparator.naturalOrder())
+                .orElse(RunNumber.FIRST)
+                .next();
+    }
+
     private void requeue(int index) {
         tasks[index].state = AssignmentState.WAITING;
         tasks[index].runNumber = tasks[index].runNumber.next();
--- a/src/main/java/org/gypsumflow/command/EndingJobs.java
+++ b/src/main/java/org/gypsumflow/command/EndingJobs.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -19,6 +20,9 @@
  * not start again, here or at another entry.
  */
 final class EndingJobs {
+    /** Number of ended jobs whose run numbers are kept: jobs that end early in more than 10 seconds at one entry. */
+    private static final int MAX_ENDED_JOBS = 5_000;
+
     /** A run that may not have ended yet. */
     record UnendedRun(BestEffortTaskId task, RunNumber runNumber, MemberName agent) {}
 
@@ -29,6 +33,14 @@
 
     private final Map<JobId, EndingJob> jobs = new HashMap<>();
     private final List<Runnable> dueListeners = new ArrayList<>();
+    private final Map<JobId, RunNumber> nextRunNumbers = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, RunNumber> eldest) {
+            return size() > MAX_ENDED_JOBS;
+        }
+    };
 
     /**
      * Adds the runs of a job that has an outcome; does nothing if there are none.
@@ -43,6 +55,22 @@
         }
     }
 
+    /** Sets the run number with which a job starts if it is submitted again, so that no result counts twice. */
+    void recordNextRunNumber(JobId job, RunNumber next) {
+        nextRunNumbers.remove(job);
+        nextRunNumbers.put(job, next);
+    }
+
+    /** Returns the number of the first run of a job, higher than those of its runs before. */
+    RunNumber firstRunNumber(JobId job) {
+        return nextRunNumbers.getOrDefault(job, RunNumber.FIRST);
+    }
+
+    /** Returns whether a run of a job may not have ended yet. */
+    boolean isEnding(JobId job) {
+        return jobs.containsKey(job);
+    }
+
     /** Runs an action once all runs of a job have ended: immediately if none is left. */
     void whenEnded(JobId job, Runnable action) {
         EndingJob ending = jobs.get(job);
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -97,6 +97,9 @@
     /**
      * Starts a job, or adds a waiter to the active job of that id, which keeps its deadline.
      *
+     * <p>If the job was active before and a run of it may not have ended, it starts after the end of that run; if the
+     * time left does not suffice for that, its outcome is that it may have run.
+     *
      * @param job the job
      * @param nowNanos current monotonic time
      * @param timeLeft time until the caller stops waiting, transit of the response included
@@ -110,9 +113,18 @@
             return;
         }
         long deadlineNanos = nowNanos + timeLeft.minus(RESPONSE_TRANSIT_TIME).toNanos();
-        ActiveJob activeJob = new ActiveJob(job, nowNanos, deadlineNanos);
+        if (endingJobs.isEnding(job.id())) {
+            endingJobs.tick(nowNanos);
+            endingJobs.runDueListeners();
+        }
+        boolean formerRunsEnding = endingJobs.isEnding(job.id());
+        ActiveJob activeJob =
+                new ActiveJob(job, nowNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
+        if (formerRunsEnding) {
+            endingJobs.whenEnded(job.id(), () -> place(activeJob, latestNanos));
+        }
         place(activeJob, nowNanos);
     }
 
@@ -228,6 +240,8 @@
         for (ActiveJob activeJob : List.copyOf(jobs.values())) {
             if (nowNanos - activeJob.deadlineNanos() >= 0) {
                 abandon(activeJob, "the caller's deadline has passed");
+            } else if (endingJobs.isEnding(activeJob.job().id())) {
+                place(activeJob, nowNanos);
             } else {
                 requeueUnknown(activeJob, nowNanos);
             }
@@ -320,6 +334,12 @@
         }
         BestEffortJob job = activeJob.job();
         boolean mayWait = mayWaitForCapacity(activeJob, nowNanos);
+        if (endingJobs.isEnding(job.id())) {
+            if (!mayWait) {
+                abandon(activeJob, "the time left does not suffice after the end of the job's former runs");
+            }
+            return;
+        }
         if (mayWait && !activeJob.mayHaveRun() && isBehindHigherPriority(activeJob)) {
             waitingJobs.putIfAbsent(job.id(), activeJob);
             return;
@@ -473,6 +493,9 @@
         }
         waitingJobs.remove(activeJob.job().id());
         endingJobs.add(activeJob.job().id(), activeJob.unendedRuns());
+        if (!activeJob.hasOnlySuccessfulRuns()) {
+            endingJobs.recordNextRunNumber(activeJob.job().id(), activeJob.nextRunNumber());
+        }
         activeJob.tasksByAgent().forEach((agent, indexes) -> {
             activeJob
                     .tasksAssignedTo(agent)
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -326,4 +326,89 @@
         assertEquals(outcomes.get(0).verdict(), Verdict.MAY_HAVE_RUN);
         assertEquals(dispatcher.activeJobCount(), 0);
     }
+
+    // Guards against a second start at the same entry while the stops of the first runs are unanswered or late.
+    @Test
+    public void aJobSubmittedAgainWhileItsFormerRunsAreStoppingStartsOnlyAfterTheirEnd() {
+        submit(2);
+        dispatcher.cancel(JOB);
+        List<Sent> former = List.copyOf(sent);
+        sent.clear();
+        submit(2, 10);
+        finish(former.get(0), RunOutcome.LOST, 50);
+        assertTrue(sent.isEmpty());
+        finish(former.get(1), RunOutcome.LOST, 60);
+        assertEquals(sent.size(), 2);
+    }
+
+    // Guards against a result of the former runs that counts for the new ones.
+    @Test
+    public void resultsOfFormerRunsDoNotCountForAJobSubmittedAgain() {
+        submit(1);
+        dispatcher.cancel(JOB);
+        outcomes.clear();
+        submit(1, 10);
+        Sent former = sent.get(0);
+        finish(former, RunOutcome.DONE, 50);
+        assertEquals(sent.size(), 2);
+        finish(former, RunOutcome.DONE, 51);
+        assertTrue(outcomes.isEmpty());
+        assertTrue(sent.get(1)
+                        .assignment()
+                        .runNumber()
+                        .compareTo(former.assignment().runNumber())
+                > 0);
+    }
+
+    // Guards against a late result of a lost agent that counts for a run which began after the reassignment time.
+    @Test
+    public void runNumbersGoOnAfterTheFormerRunsHaveEnded() {
+        submit(1);
+        dispatcher.cancel(JOB);
+        dispatcher.agentDisconnected(sent.get(0).agent(), millis(700));
+        dispatcher.tick(millis(700));
+        submit(1, 800);
+        assertEquals(sent.get(1).assignment().runNumber().value(), 2);
+    }
+
+    // Guards against a second start at the same entry while an agent that is out of contact may still run the task.
+    @Test
+    public void aJobSubmittedAgainWhileAnAgentOfItsFormerRunsIsLostStartsAfterTheReassignmentTime() {
+        submit(1);
+        dispatcher.cancel(JOB);
+        dispatcher.agentDisconnected(sent.get(0).agent(), millis(700));
+        submit(1, 10);
+        dispatcher.tick(millis(690));
+        assertEquals(sent.size(), 1);
+        dispatcher.tick(millis(700));
+        assertEquals(sent.size(), 2);
+    }
+
+    @Test
+    public void aJobSubmittedAgainMayHaveRunIfItsTimeCannotSufficeAfterTheEndOfItsFormerRuns() {
+        submit(1);
+        dispatcher.cancel(JOB);
+        outcomes.clear();
+        BestEffortJob job =
+                new BestEffortJob(JOB, ROUTE, 1, "text", 1, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+        dispatcher.submit(job, millis(10), Duration.ofMillis(200), outcomes::add);
+        assertEquals(outcomes.get(0).verdict(), Verdict.MAY_HAVE_RUN);
+        assertFalse(dispatcher.isActive(JOB));
+        dispatcher.submit(job, millis(10), CALLER_TIMEOUT, outcomes::add);
+        assertEquals(outcomes.size(), 1);
+        dispatcher.tick(millis(2000));
+        assertEquals(outcomes.get(1).verdict(), Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    public void aJobThatIsCancelledWhileItWaitsForTheEndOfItsFormerRunsDoesNotStart() {
+        submit(1);
+        dispatcher.cancel(JOB);
+        submit(1, 10);
+        assertTrue(dispatcher.cancel(JOB));
+        finish(sent.get(0), RunOutcome.LOST, 50);
+        assertEquals(sent.size(), 1);
+        submit(1, 60);
+        assertEquals(sent.size(), 2);
+    }
 }
