Start a job that another entry owns only on proof that its runs have ended

The asking entry waited 600 ms of real time for the owner's reply and then behaved as if the job were abandoned, although the owner was connected; and a job whose owner had been lost started at once, although the owner's agents notice the loss later and their stops may go unanswered. A reply of any entry counted as the owner's, and each further request asked the owner again.

JobHandovers now keeps the jobs that wait for their owner. While it is connected, its own reply is awaited, until the caller's time does not suffice any more (then: may have run). If it is lost, the job starts TAKE_OVER_AFTER_LAST_MESSAGE after its last message; if it connects again, it is asked again, and both are required, since a restarted owner knows nothing of its former tasks. A pending handover stays until the reply, so that each request has one; a cancellation is no longer replied to. Draining waits for the jobs that are being taken over.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -31,6 +31,17 @@
     public static final Duration MAX_STOP_TIME = Duration.ofMillis(50);
     /** Time since the last message of an agent after which its tasks no longer run: both timeouts, then the stop. */
     public static final Duration REASSIGN_AFTER_LAST_MESSAGE = Duration.ofMillis(1600);
+    /**
+     * Time since the last message of a lost entry after which none of its tasks runs any more, so that another entry may
+     * start its jobs again.
+     *
+     * <p>An agent may have received a message from that entry later than the entry that counts, by the time between two
+     * heartbeats: {@link #HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS} and {@link #CONNECTION_CHECK_INTERVAL}. It notices the
+     * loss {@link #HEARTBEAT_TIMEOUT} and {@link #CONNECTION_CHECK_INTERVAL} later. Its stops may go unanswered and a
+     * renewal in flight may still arrive, 200 ms; then the runs end with the lease, {@link #LEASE_DURATION} by a clock
+     * that is 2 % slow, after 60 ms for its check and {@link #MAX_STOP_TIME}: 350 + 750 + 200 + 919 + 60 + 50 = 2,329 ms.
+     */
+    public static final Duration TAKE_OVER_AFTER_LAST_MESSAGE = Duration.ofMillis(2350);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
     public static final Duration PAUSE_THRESHOLD = Duration.ofMillis(450);
     /** Time between unsolicited reports of a changing worker status: longer saves bytes, shorter avoids collisions. */
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -7,8 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.JobDispatcher;
@@ -37,6 +35,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.traffic.JobHandovers.Submission;
 
 /**
  * Accepts best-effort jobs from callers, assigns their tasks to agents, and completes the jobs with their outcomes.
@@ -47,9 +46,6 @@
     /** Retry-After for callers of a draining host: another host accepts them immediately. */
     private static final Duration RETRY_AFTER_DRAINING = Duration.ofSeconds(1);
 
-    /** A caller that waits for the outcome of a job; the future completes if it disconnects before. */
-    private record Waiter(Consumer<BestEffortOutcome> callback, CompletableFuture<Void> disconnected) {}
-
     private final SerialExecutor executor;
     private final TimeSource time;
     private final EventLog events;
@@ -58,9 +54,10 @@
     private final Map<MemberName, Connection> peers = new HashMap<>();
     private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
-    private final Map<JobId, CompletableFuture<Boolean>> pendingHandovers = new HashMap<>();
+    private final JobHandovers handovers;
     private final List<JobId> unannouncedJobs = new ArrayList<>();
     private final JobDispatcher dispatcher;
+    private final JobObserver observer;
     private CompletableFuture<Void> drained;
     private long lastTickMillis;
     private volatile int connectedAgentCount;
@@ -77,6 +74,9 @@
         this.time = time;
         this.events = events;
         this.routingState = routingState;
+        this.observer = observer;
+        this.handovers = new JobHandovers(
+                executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
         this.dispatcher = JobDispatcher.create(
                 capacityTracker,
                 placementPolicy,
@@ -111,6 +111,7 @@
         lastTickMillis = time.currentTimeMillis();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             detectPause();
+            handovers.tick();
             dispatcher.tick(time.nanoTime());
             announceAcceptedJobs();
             completeDrainIfIdle();
@@ -148,7 +149,7 @@
     public CompletableFuture<Void> abandonAll(String reason) {
         CompletableFuture<Void> completion = new CompletableFuture<>();
         executor.execute(() -> {
-            dispatcher.abandonAll(reason);
+            abandonAllJobs(reason);
             completion.complete(null);
         });
         return completion;
@@ -165,45 +166,68 @@
     public CompletableFuture<BestEffortOutcome> submit(
             BestEffortJob job, Duration remainingTime, CompletableFuture<Void> disconnected) {
         CompletableFuture<BestEffortOutcome> outcome = new CompletableFuture<>();
-        Waiter waiter = new Waiter(outcome::complete, disconnected);
         executor.execute(() -> {
             detectPause();
             if (drained != null) {
                 outcome.complete(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
                 return;
             }
-            accept(job, remainingTime, waiter);
+            long nowNanos = time.nanoTime();
+            accept(new Submission(job, nowNanos, nowNanos + remainingTime.toNanos(), outcome::complete, disconnected));
         });
         return outcome;
     }
 
-    private void accept(BestEffortJob job, Duration remainingTime, Waiter waiter) {
-        Optional<MemberName> owner = jobOwners.ownerOf(job.id(), time.nanoTime());
-        Connection peer = owner.map(peers::get).orElse(null);
-        if (peer == null) {
-            startJob(job, remainingTime, waiter);
+    private void accept(Submission submission) {
+        if (handovers.join(submission)) {
             return;
         }
-        long requestedNanos = time.nanoTime();
-        CompletableFuture<Boolean> abandoned =
-                pendingHandovers.computeIfAbsent(job.id(), id -> new CompletableFuture<>());
-        peer.send(new AbandonJob(job.id(), false));
-        abandoned.completeOnTimeout(true, BestEffortTimings.HEARTBEAT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        executor.whenDone(abandoned, (wasActive, failure) -> {
-            pendingHandovers.remove(job.id(), abandoned);
-            jobOwners.remove(job.id());
-            startJob(job, remainingTime.minusNanos(time.nanoTime() - requestedNanos), waiter);
-        });
+        JobId job = submission.job().id();
+        Optional<MemberName> owner = jobOwners.ownerOf(job, time.nanoTime());
+        if (owner.isEmpty()) {
+            startJob(submission);
+            return;
+        }
+        handovers.begin(submission, owner.get());
+    }
+
+    private boolean requestAbandonment(MemberName owner, JobId job) {
+        Connection connection = peers.get(owner);
+        if (connection == null) {
+            return false;
+        }
+        connection.send(new AbandonJob(job, false));
+        return true;
+    }
+
+    private void handoverCompleted(JobId job, List<Submission> submissions) {
+        jobOwners.remove(job);
+        submissions.forEach(this::startJob);
+    }
+
+    private void completeWaiting(Submission submission, BestEffortOutcome outcome) {
+        BestEffortJob job = submission.job();
+        events.write(Event.JOB_ENDED_EARLY, job.id(), job.route().name(), outcome.reason());
+        observer.outcomeDecided(
+                job.route().name(), outcome, Duration.ofNanos(time.nanoTime() - submission.submittedNanos()));
+        submission.callback().accept(outcome);
     }
 
-    private void startJob(BestEffortJob job, Duration remainingTime, Waiter waiter) {
-        if (waiter.disconnected().isDone()) {
+    private void startJob(Submission submission) {
+        if (submission.disconnected().isDone()) {
             return;
         }
-        unannouncedJobs.add(job.id());
-        dispatcher.submit(job, time.nanoTime(), remainingTime, waiter.callback());
-        waiter.disconnected()
-                .thenRun(() -> executor.execute(() -> dispatcher.removeWaiter(job.id(), waiter.callback())));
+        JobId job = submission.job().id();
+        unannouncedJobs.add(job);
+        long nowNanos = time.nanoTime();
+        dispatcher.submit(
+                submission.job(),
+                nowNanos,
+                Duration.ofNanos(submission.deadlineNanos() - nowNanos),
+                submission.callback());
+        submission
+                .disconnected()
+                .thenRun(() -> executor.execute(() -> dispatcher.removeWaiter(job, submission.callback())));
     }
 
     private void announceAcceptedJobs() {
@@ -219,14 +243,15 @@
      * Cancels a job at this entry and at all peers.
      *
      * @param job id of the job
-     * @return true if the job was active at this entry or is known to be owned by a peer
+     * @return true if the job was active at this entry, or is known to be owned by a peer
      */
     public CompletableFuture<Boolean> cancel(JobId job) {
         CompletableFuture<Boolean> wasActive = new CompletableFuture<>();
         executor.execute(() -> {
             boolean ownedByPeer = jobOwners.ownerOf(job, time.nanoTime()).isPresent();
             peers.values().forEach(connection -> connection.send(new AbandonJob(job, true)));
-            wasActive.complete(dispatcher.cancel(job) || ownedByPeer);
+            boolean wasKnownHere = cancelHere(job);
+            wasActive.complete(wasKnownHere || ownedByPeer);
         });
         return wasActive;
     }
@@ -266,6 +291,7 @@
                 connectedAgentCount = agents.size();
             } else {
                 peers.put(member.name(), connection);
+                handovers.peerConnected(member.name());
             }
         });
         if (routingState.current().table().isKnown()) {
@@ -281,7 +307,9 @@
                         member.name(), lastMessageNanos + BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.toNanos());
             }
             connectedAgentCount = agents.size();
-            peers.remove(member.name());
+            if (peers.remove(member.name()) != null) {
+                handovers.peerDisconnected(member.name(), lastMessageNanos);
+            }
         });
     }
 
@@ -295,8 +323,7 @@
             } else if (message instanceof AbandonJob request) {
                 abandon(from, request);
             } else if (message instanceof JobAbandoned abandoned) {
-                Optional.ofNullable(pendingHandovers.get(abandoned.job()))
-                        .ifPresent(handover -> handover.complete(abandoned.wasActive()));
+                handovers.replyReceived(from, abandoned.job());
             } else if (message instanceof ShareJobs share) {
                 share.acceptedJobs().forEach(job -> jobOwners.recordAccepted(from, job, time.nanoTime()));
             }
@@ -325,26 +352,43 @@
     }
 
     private void abandon(MemberName from, AbandonJob request) {
-        boolean wasActive = request.cancelled() ? dispatcher.cancel(request.job()) : dispatcher.abandon(request.job());
+        JobId job = request.job();
+        if (request.cancelled()) {
+            cancelHere(job);
+            return;
+        }
+        boolean wasActive = dispatcher.abandon(job);
         Connection peer = peers.get(from);
         if (peer != null) {
-            JobAbandoned reply = new JobAbandoned(request.job(), wasActive);
-            dispatcher.whenEnded(request.job(), () -> peer.send(reply));
+            JobAbandoned reply = new JobAbandoned(job, wasActive);
+            dispatcher.whenEnded(job, () -> peer.send(reply));
         }
     }
 
+    private boolean cancelHere(JobId job) {
+        return dispatcher.cancel(job);
+    }
+
+    private void abandonAllJobs(String reason) {
+        dispatcher.abandonAll(reason);
+    }
+
+    private int activeJobCount() {
+        return dispatcher.activeJobCount() + handovers.submissionCount();
+    }
+
     private void detectPause() {
         long now = time.currentTimeMillis();
         long gapMillis = now - lastTickMillis;
         lastTickMillis = now;
         if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis() && dispatcher.activeJobCount() > 0) {
             events.write(Event.PROCESS_PAUSED, gapMillis);
-            dispatcher.abandonAll("this host was paused for " + gapMillis + " ms");
+            abandonAllJobs("this host was paused for " + gapMillis + " ms");
         }
     }
 
     private void completeDrainIfIdle() {
-        if (drained != null && dispatcher.activeJobCount() == 0) {
+        if (drained != null && activeJobCount() == 0) {
             drained.complete(null);
         }
     }
--- /dev/null
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -0,0 +1,206 @@
+package org.gypsumflow.traffic;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.control.SerialExecutor;
+import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.BestEffortOutcome;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.MemberName;
+
+/**
+ * Jobs that callers sent to this entry while a peer owns them. They wait for the proof that none of their runs is left:
+ * the owner's reply, or, if the owner is lost, the time after which its agents have stopped its tasks.
+ *
+ * <p>A handover stays pending until then, even if no caller waits for it any more, so that each request to an owner has
+ * one reply. Confined to one executor.
+ */
+final class JobHandovers {
+    /** Time for the response to reach the caller, and between two checks of the callers' deadlines. */
+    private static final Duration RESPONSE_TIME = BestEffortTimings.REPORT_INTERVAL.plusMillis(30);
+
+    /** A job that a caller sent, with what is needed to start it later. */
+    record Submission(
+            BestEffortJob job,
+            long submittedNanos,
+            long deadlineNanos,
+            Consumer<BestEffortOutcome> callback,
+            CompletableFuture<Void> disconnected) {}
+
+    /** Asks the owner of a job to abandon it. */
+    @FunctionalInterface
+    interface OwnerClient {
+        /** Sends the request; returns false if the owner is not connected. */
+        boolean requestAbandonment(MemberName owner, JobId job);
+    }
+
+    /** Receives a handover whose former runs have all ended. */
+    @FunctionalInterface
+    interface CompletionListener {
+        /** Called with the submissions that still wait. */
+        void completed(JobId job, List<Submission> submissions);
+    }
+
+    /** Completes a submission that does not wait any longer. */
+    @FunctionalInterface
+    interface SubmissionCompleter {
+        /** Passes the outcome to the caller. */
+        void complete(Submission submission, BestEffortOutcome outcome);
+    }
+
+    private static final class Handover {
+        private final JobId job;
+        private final MemberName owner;
+        private final List<Submission> submissions = new ArrayList<>();
+        private boolean awaitsReply;
+        private long notBeforeNanos;
+
+        private Handover(JobId job, MemberName owner, long notBeforeNanos) {
+            this.job = job;
+            this.owner = owner;
+            this.notBeforeNanos = notBeforeNanos;
+        }
+    }
+
+    private final SerialExecutor executor;
+    private final TimeSource time;
+    private final OwnerClient ownerClient;
+    private final CompletionListener listener;
+    private final SubmissionCompleter completer;
+    private final Map<JobId, Handover> handovers = new HashMap<>();
+    private final Map<MemberName, Long> takeOverNanosByLostPeer = new HashMap<>();
+
+    JobHandovers(
+            SerialExecutor executor,
+            TimeSource time,
+            OwnerClient ownerClient,
+            CompletionListener listener,
+            SubmissionCompleter completer) {
+        this.executor = executor;
+        this.time = time;
+        this.ownerClient = ownerClient;
+        this.listener = listener;
+        this.completer = completer;
+    }
+
+    /** Lets a submission wait for the pending handover of its job; returns false if there is none. */
+    boolean join(Submission submission) {
+        Handover handover = handovers.get(submission.job().id());
+        if (handover == null) {
+            return false;
+        }
+        handover.submissions.add(submission);
+        giveUpWhereTimeCannotSuffice(handover);
+        return true;
+    }
+
+    /** Starts the handover of a job from its owner, which may have been lost before. */
+    void begin(Submission submission, MemberName owner) {
+        JobId job = submission.job().id();
+        long nowNanos = time.nanoTime();
+        Handover handover = new Handover(job, owner, takeOverNanosByLostPeer.getOrDefault(owner, nowNanos));
+        handovers.put(job, handover);
+        handover.submissions.add(submission);
+        handover.awaitsReply = ownerClient.requestAbandonment(owner, job);
+        giveUpWhereTimeCannotSuffice(handover);
+        completeIfProven(handover);
+    }
+
+    /** Records the reply of an entry that was asked to abandon a job; ignored unless it is the owner. */
+    void replyReceived(MemberName from, JobId job) {
+        Handover handover = handovers.get(job);
+        if (handover != null && handover.owner.equals(from)) {
+            handover.awaitsReply = false;
+            completeIfProven(handover);
+        }
+    }
+
+    /** Asks a peer again for the jobs that it owns: its reply tells what became of them. */
+    void peerConnected(MemberName peer) {
+        for (Handover handover : List.copyOf(handovers.values())) {
+            if (handover.owner.equals(peer)) {
+                handover.awaitsReply = ownerClient.requestAbandonment(peer, handover.job);
+            }
+        }
+    }
+
+    /**
+     * Records that a peer is lost: no reply will come, and its agents stop its tasks.
+     *
+     * @param peer the peer
+     * @param lastMessageNanos monotonic time of its last message
+     */
+    void peerDisconnected(MemberName peer, long lastMessageNanos) {
+        long takeOverNanos = lastMessageNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
+        takeOverNanosByLostPeer.put(peer, takeOverNanos);
+        for (Handover handover : List.copyOf(handovers.values())) {
+            if (handover.owner.equals(peer)) {
+                handover.awaitsReply = false;
+                handover.notBeforeNanos = takeOverNanos;
+                giveUpWhereTimeCannotSuffice(handover);
+                completeIfProven(handover);
+            }
+        }
+    }
+
+    /** Completes the submissions whose callers cannot get the result in time any more. */
+    void tick() {
+        List.copyOf(handovers.values()).forEach(this::giveUpWhereTimeCannotSuffice);
+    }
+
+    /** Returns the number of submissions that wait. */
+    int submissionCount() {
+        return handovers.values().stream()
+                .mapToInt(handover -> handover.submissions.size())
+                .sum();
+    }
+
+    private void giveUpWhereTimeCannotSuffice(Handover handover) {
+        long nowNanos = time.nanoTime();
+        long earliestStartNanos = nowNanos + Math.max(0, handover.notBeforeNanos - nowNanos);
+        handover.submissions.removeIf(submission -> submission.disconnected().isDone());
+        giveUp(
+                handover,
+                submission -> submission.deadlineNanos()
+                                - earliestStartNanos
+                                - submission.job().estimate().toNanos()
+                        < RESPONSE_TIME.toNanos(),
+                BestEffortOutcome.mayHaveRun(
+                        "the time left does not suffice after the end of the job's runs at another host"));
+    }
+
+    private boolean giveUp(Handover handover, Predicate<Submission> which, BestEffortOutcome outcome) {
+        List<Submission> given = new ArrayList<>();
+        for (Iterator<Submission> remaining = handover.submissions.iterator(); remaining.hasNext(); ) {
+            Submission submission = remaining.next();
+            if (which.test(submission)) {
+                remaining.remove();
+                given.add(submission);
+            }
+        }
+        given.forEach(submission -> completer.complete(submission, outcome));
+        return !given.isEmpty();
+    }
+
+    private void completeIfProven(Handover handover) {
+        if (handover.awaitsReply || handovers.get(handover.job) != handover) {
+            return;
+        }
+        long waitNanos = handover.notBeforeNanos - time.nanoTime();
+        if (waitNanos > 0) {
+            executor.schedule(Duration.ofNanos(waitNanos).plusMillis(1), () -> completeIfProven(handover));
+            return;
+        }
+        handovers.remove(handover.job);
+        listener.completed(handover.job, List.copyOf(handover.submissions));
+    }
+}
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -39,6 +39,7 @@
 public final class BestEffortEntryTest {
     private static final MemberName AGENT = MemberName.of("agent");
     private static final MemberName PEER = MemberName.of("peer");
+    private static final MemberName OTHER_PEER = MemberName.of("other-peer");
     private static final JobId JOB = JobId.of("00000000000000b1");
     private static final Route ROUTE = new Route(
             RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 2, 1.6, Duration.ofMillis(60), Duration.ofSeconds(2));
@@ -96,6 +97,10 @@
         entry.memberDisconnected(member(name, role), executor.timeSource().nanoTime());
     }
 
+    private static Verdict verdict(CompletableFuture<BestEffortOutcome> outcome) {
+        return outcome.thenApply(BestEffortOutcome::verdict).getNow(null);
+    }
+
     private static <T extends Message> List<T> sentTo(RecordingConnection connection, Class<T> kind) {
         return connection.sent().stream()
                 .filter(kind::isInstance)
@@ -192,4 +197,115 @@
         entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
         assertEquals(peer.sent(), List.of(new JobAbandoned(JOB, false)));
     }
+
+    // Guards against a second start while a lost owner's agents have not stopped its tasks yet.
+    @Test
+    public void aJobWhoseOwnerIsLostStartsOnlyWhenTheAgentsOfTheOwnerHaveStoppedItsTasks() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        disconnect(PEER, Member.Role.ENTRY);
+        executor.advance(1300);
+        submit(JOB);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1301);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against a second start when the owner is lost during the wait for its reply.
+    @Test
+    public void aJobWhoseOwnerIsLostDuringTheHandoverStartsOnlyWhenItsTasksHaveBeenStopped() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        disconnect(PEER, Member.Role.ENTRY);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against a second start because a restarted owner, which knows nothing of its former tasks, replies.
+    @Test
+    public void theReplyOfARestartedOwnerDoesNotProveThatTheTasksOfItsFormerIncarnationHaveEnded() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        disconnect(PEER, Member.Role.ENTRY);
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        submit(JOB);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, false));
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void anOwnerThatConnectsAgainDuringTheHandoverIsAskedAgainAndItsReplyIsAwaited() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        disconnect(PEER, Member.Role.ENTRY);
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        assertEquals(sentTo(peer, AbandonJob.class).size(), 2);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() + 100);
+        assertTrue(assignments().isEmpty());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void aCallerWhoseTimeCannotSufficeForTheHandoverIsToldThatTheJobMayHaveRun() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.advance(REMAINING_TIME.toMillis() - 500);
+        assertFalse(outcome.isDone());
+        executor.advance(200);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against a second start because an entry other than the owner replied, as to a cancellation.
+    @Test
+    public void theReplyOfAnEntryThatIsNotTheOwnerDoesNotStartTheJob() {
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), RecordingConnection.create());
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        entry.jobMessageReceived(OTHER_PEER, new JobAbandoned(JOB, false));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    @Test
+    public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> first = submit(JOB);
+        CompletableFuture<BestEffortOutcome> second = submit(JOB);
+        assertEquals(sentTo(peer, AbandonJob.class).size(), 1);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+        report(assignments().get(0), RunOutcome.DONE);
+        assertEquals(first.getNow(null), BestEffortOutcome.completed());
+        assertEquals(second.getNow(null), BestEffortOutcome.completed());
+    }
+
+    @Test
+    public void aJobWhoseCallerDisconnectsDuringTheHandoverDoesNotStart() {
+        CompletableFuture<Void> disconnected = new CompletableFuture<>();
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB.value(), disconnected);
+        disconnected.complete(null);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    @Test
+    public void aDrainingEntryWaitsForTheJobsThatItTakesOver() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        CompletableFuture<Void> drained = entry.drain(Duration.ZERO);
+        executor.advance(200);
+        assertFalse(drained.isDone());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        report(assignments().get(0), RunOutcome.DONE);
+        assertTrue(drained.isDone());
+    }
 }
