Do not start a job that was cancelled during its handover

A cancellation reached the owner and the jobs of this entry, but not the callers that waited here for the owner's reply: the job started after its cancellation had been confirmed. They now get the outcome that the job was cancelled.

Before the change aJobThatIsCancelledDuringTheHandoverDoesNotStart printed: expected [true] but found [false].

--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -243,7 +243,7 @@
      * Cancels a job at this entry and at all peers.
      *
      * @param job id of the job
-     * @return true if the job was active at this entry, or is known to be owned by a peer
+     * @return true if the job was active or waited at this entry, or is known to be owned by a peer
      */
     public CompletableFuture<Boolean> cancel(JobId job) {
         CompletableFuture<Boolean> wasActive = new CompletableFuture<>();
@@ -366,7 +366,8 @@
     }
 
     private boolean cancelHere(JobId job) {
-        return dispatcher.cancel(job);
+        boolean waited = handovers.giveUp(job, BestEffortOutcome.ofCancelled());
+        return dispatcher.cancel(job) || waited;
     }
 
     private void abandonAllJobs(String reason) {
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -152,6 +152,12 @@
         }
     }
 
+    /** Completes the submissions that wait for a job; the handover itself stays pending. Returns whether any waited. */
+    boolean giveUp(JobId job, BestEffortOutcome outcome) {
+        Handover handover = handovers.get(job);
+        return handover != null && giveUp(handover, submission -> true, outcome);
+    }
+
     /** Completes the submissions whose callers cannot get the result in time any more. */
     void tick() {
         List.copyOf(handovers.values()).forEach(this::giveUpWhereTimeCannotSuffice);
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -273,6 +273,18 @@
         assertTrue(assignments().isEmpty());
     }
 
+    // Guards against the start of a job after its cancellation was confirmed.
+    @Test
+    public void aJobThatIsCancelledDuringTheHandoverDoesNotStart() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        assertTrue(entry.cancel(JOB).getNow(false));
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+        assertEquals(outcome.getNow(null), BestEffortOutcome.ofCancelled());
+    }
+
     @Test
     public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
