Ask an entry that accepted a job during its handover as well

When the owner had replied, the entry forgot whoever was recorded as the owner, and started the job, although another entry might have accepted it meanwhile. A newer owner is now kept and asked in turn.

Before the change anEntryThatAcceptedTheJobDuringTheHandoverIsAskedToAbandonItAsWell printed: expected [true] but found [false].

--- a/src/main/java/org/gypsumflow/command/JobOwnerCache.java
+++ b/src/main/java/org/gypsumflow/command/JobOwnerCache.java
@@ -65,11 +65,16 @@
     }
 
     /**
-     * Removes a job, since its owner has abandoned it.
+     * Removes a job, since its owner has abandoned it; a newer owner is kept.
      *
      * @param job id of the job
+     * @param owner the peer that abandoned it
+     * @param requestedNanos monotonic time at which it was asked; if it accepted the job again later, it is kept
      */
-    public void remove(JobId job) {
-        jobs.remove(job);
+    public void remove(JobId job, MemberName owner, long requestedNanos) {
+        Ownership ownership = jobs.get(job);
+        if (ownership != null && ownership.owner.equals(owner) && ownership.acceptedNanos - requestedNanos <= 0) {
+            jobs.remove(job);
+        }
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -200,9 +200,9 @@
         return true;
     }
 
-    private void handoverCompleted(JobId job, List<Submission> submissions) {
-        jobOwners.remove(job);
-        submissions.forEach(this::startJob);
+    private void handoverCompleted(JobId job, MemberName owner, long requestedNanos, List<Submission> submissions) {
+        jobOwners.remove(job, owner, requestedNanos);
+        submissions.forEach(this::accept);
     }
 
     private void completeWaiting(Submission submission, BestEffortOutcome outcome) {
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -46,8 +46,8 @@
     /** Receives a handover whose former runs have all ended. */
     @FunctionalInterface
     interface CompletionListener {
-        /** Called with the submissions that still wait. */
-        void completed(JobId job, List<Submission> submissions);
+        /** Called with the former owner, the time at which it was asked first, and the submissions that still wait. */
+        void completed(JobId job, MemberName owner, long requestedNanos, List<Submission> submissions);
     }
 
     /** Completes a submission that does not wait any longer. */
@@ -60,13 +60,15 @@
     private static final class Handover {
         private final JobId job;
         private final MemberName owner;
+        private final long requestedNanos;
         private final List<Submission> submissions = new ArrayList<>();
         private boolean awaitsReply;
         private long notBeforeNanos;
 
-        private Handover(JobId job, MemberName owner, long notBeforeNanos) {
+        private Handover(JobId job, MemberName owner, long requestedNanos, long notBeforeNanos) {
             this.job = job;
             this.owner = owner;
+            this.requestedNanos = requestedNanos;
             this.notBeforeNanos = notBeforeNanos;
         }
     }
@@ -107,7 +109,7 @@
     void begin(Submission submission, MemberName owner) {
         JobId job = submission.job().id();
         long nowNanos = time.nanoTime();
-        Handover handover = new Handover(job, owner, takeOverNanosByLostPeer.getOrDefault(owner, nowNanos));
+        Handover handover = new Handover(job, owner, nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, nowNanos));
         handovers.put(job, handover);
         handover.submissions.add(submission);
         handover.awaitsReply = ownerClient.requestAbandonment(owner, job);
@@ -207,6 +209,6 @@
             return;
         }
         handovers.remove(handover.job);
-        listener.completed(handover.job, List.copyOf(handover.submissions));
+        listener.completed(handover.job, handover.owner, handover.requestedNanos, List.copyOf(handover.submissions));
     }
 }
--- a/src/test/java/org/gypsumflow/command/JobOwnerCacheTest.java
+++ b/src/test/java/org/gypsumflow/command/JobOwnerCacheTest.java
@@ -27,7 +27,20 @@
         cache.recordAccepted(ONE, JOB, 0);
         assertEquals(cache.ownerOf(JOB, Duration.ofSeconds(16).toNanos()), Optional.empty());
         cache.recordAccepted(ONE, JOB, 0);
-        cache.remove(JOB);
+        cache.remove(JOB, ONE, 0);
         assertEquals(cache.ownerOf(JOB, 1), Optional.empty());
     }
+
+    // Guards against a second start beside that of an entry which accepted the job while the former owner was asked.
+    @Test
+    public void anOwnerThatAcceptedAJobAfterTheRequestToTheFormerOneIsKept() {
+        JobOwnerCache cache = JobOwnerCache.create();
+        cache.recordAccepted(ONE, JOB, 0);
+        cache.recordAccepted(TWO, JOB, 1);
+        cache.remove(JOB, ONE, 2);
+        assertEquals(cache.ownerOf(JOB, 2), Optional.of(TWO));
+        cache.recordAccepted(ONE, JOB, 3);
+        cache.remove(JOB, ONE, 2);
+        assertEquals(cache.ownerOf(JOB, 3), Optional.of(ONE));
+    }
 }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -285,6 +285,23 @@
         assertEquals(outcome.getNow(null), BestEffortOutcome.ofCancelled());
     }
 
+    // Guards against a second start beside that of an entry which accepted the job during the handover.
+    @Test
+    public void anEntryThatAcceptedTheJobDuringTheHandoverIsAskedToAbandonItAsWell() {
+        RecordingConnection otherPeer = RecordingConnection.create();
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        executor.advance(1);
+        entry.jobMessageReceived(OTHER_PEER, new ShareJobs(List.of(JOB)));
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+        assertEquals(sentTo(otherPeer, AbandonJob.class), List.of(new AbandonJob(JOB, false)));
+        entry.jobMessageReceived(OTHER_PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+    }
+
     @Test
     public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
