--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -56,6 +56,15 @@
     public static final Duration STOP_CONFIRMATION_TIMEOUT = Duration.ofMillis(200);
     /** Time since the last message of an agent after which its tasks no longer run, by the sum above. */
     public static final Duration REASSIGN_AFTER_LAST_MESSAGE = Duration.ofMillis(2150);
+    /**
+     * Time since the last message of a lost entry after which none of its tasks runs any more, so that another entry may
+     * start its jobs again.
+     *
+     * <p>The entry sent its last message at most {@link #HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS} and {@link
+     * #CONNECTION_CHECK_INTERVAL} before it was lost, and confirmed no contact to an agent after that. From then on the
+     * sum for {@link #REASSIGN_AFTER_LAST_MESSAGE} holds: (350 + 700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,457 ms.
+     */
+    public static final Duration TAKE_OVER_AFTER_LAST_MESSAGE = Duration.ofMillis(2500);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
     public static final Duration PAUSE_THRESHOLD = Duration.ofMillis(450);
     /** Time between unsolicited reports of a changing worker status: longer saves bytes, shorter avoids collisions. */
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -199,7 +199,8 @@
     }
 
     /**
-     * Asks a peer to abandon a job and stop its tasks, because its caller has contacted the sender.
+     * Asks a peer to abandon a job and stop its tasks, because its caller has contacted the sender. Unless the job was
+     * cancelled, the peer replies with {@link JobAbandoned}.
      *
      * @param job id of the job
      * @param cancelled true if the caller cancelled the job, false if the sender is going to run it again
@@ -207,10 +208,11 @@
     record AbandonJob(JobId job, boolean cancelled) implements BestEffortMessage {}
 
     /**
-     * Confirms that the sender has abandoned a job and asked all agents to which it had assigned tasks to stop them.
+     * Confirms that the sender has abandoned a job and that no run of its tasks is left: for each one its agent has
+     * reported the end, or is lost for so long that the run cannot go on.
      *
      * @param job id of the job
-     * @param wasActive true if the job was active until now, so that its tasks may not have stopped yet
+     * @param wasActive true if the job was active when the request to abandon it came
      */
     record JobAbandoned(JobId job, boolean wasActive) implements BestEffortMessage {}
 }
--- a/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
+++ b/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
@@ -129,4 +129,19 @@
                 BestEffortTimings.CONFIRMED_CONTACT_LIMIT.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
         assertTrue(contactDetectionTime.plus(BestEffortTimings.MAX_STOP_TIME).compareTo(callerRetryDelay) < 0);
     }
+
+    // Guards against a second start that is counted from the lost owner's last message to the entry that starts it.
+    @Test
+    public void aJobOfALostEntryIsTakenOverOnlyAfterTheAgentsOfThatEntryNoticedAndItsRunsEnded() {
+        Duration laterMessageToAnAgent = BestEffortTimings.HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS.plus(
+                BestEffortTimings.CONNECTION_CHECK_INTERVAL);
+        Duration runsEndedAfter = bySlowClock(laterMessageToAnAgent
+                        .plus(BestEffortTimings.CONFIRMED_CONTACT_LIMIT)
+                        .plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL)
+                        .plus(BestEffortTimings.STOP_CONFIRMATION_TIMEOUT)
+                        .plus(BestEffortTimings.LEASE_DURATION))
+                .plus(LEASE_ESTIMATE_ERROR)
+                .plus(BestEffortTimings.MAX_STOP_TIME);
+        assertTrue(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.compareTo(runsEndedAfter) >= 0);
+    }
 }
