--- a/src/test/java/org/gypsumflow/world/BestEffortHistory.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistory.java
@@ -359,7 +359,7 @@
     }
 
     private long randomStepMillis() {
-        long millis = 50 + random.nextInt(random.nextInt(4) == 0 ? 100_000 : 3000);
+        long millis = 50L + random.nextInt(random.nextInt(4) == 0 ? 100_000 : 3000);
         return random.nextBoolean() ? millis : -millis;
     }
 
--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -55,7 +55,10 @@
                             Integer::sum));
         });
         System.out.println("histories: " + count + ", faults: " + faults + ", outcomes: " + outcomes);
-        violations.stream().sorted().limit(Integer.getInteger("lim",40)).forEach(System.out::println);
+        violations.stream()
+                .sorted()
+                .limit(Integer.getInteger("gypsumflow.shownViolations", 40))
+                .forEach(System.out::println);
         assertEquals(violations, List.of());
     }
 
--- a/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -3,34 +3,25 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
-import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
-import org.gypsumflow.model.BestEffortMessage;
-import org.gypsumflow.model.BestEffortMessage.AbandonJob;
-import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
-import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
-import org.gypsumflow.model.Message;
 import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.Verdict;
 import org.gypsumflow.traffic.BestEffortAgent;
@@ -106,61 +97,6 @@
         }
     }
 
-    /**
-     * Completes a handover after its timeout, which the entry measures with a timer of the JDK: that one runs on real
-     * time, and the simulation ignores it.
-     */
-    private final class HandoverTimeouts implements ConnectionManager.MemberListener {
-        private final ConnectionManager.MemberListener entry;
-        private final SerialExecutor executor;
-        private final Set<JobId> pending = new HashSet<>();
-
-        private HandoverTimeouts(ConnectionManager.MemberListener entry, SerialExecutor executor) {
-            this.entry = entry;
-            this.executor = executor;
-        }
-
-        @Override
-        public void memberConnected(Member member, Connection connection) {
-            entry.memberConnected(member, new Connection() {
-                @Override
-                public void send(Message message) {
-                    connection.send(message);
-                    if (message instanceof AbandonJob request && !request.cancelled() && pending.add(request.job())) {
-                        executor.schedule(BestEffortTimings.HEARTBEAT_TIMEOUT, () -> {
-                            if (pending.remove(request.job())) {
-                                entry.jobMessageReceived(member.name(), new JobAbandoned(request.job(), true));
-                            }
-                        });
-                    }
-                }
-
-                @Override
-                public void close() {
-                    connection.close();
-                }
-            });
-        }
-
-        @Override
-        public void memberDisconnected(Member member, long lastReceivedNanos) {
-            entry.memberDisconnected(member, lastReceivedNanos);
-        }
-
-        @Override
-        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {
-            if (message instanceof JobAbandoned abandoned) {
-                pending.remove(abandoned.job());
-            }
-            entry.jobMessageReceived(sender, message);
-        }
-
-        @Override
-        public void routingStateReceived(MemberName sender, ShareRoutingState state) {
-            entry.routingStateReceived(sender, state);
-        }
-    }
-
     final VirtualClock clock = new VirtualClock();
     final MemberNetwork network;
     final List<FakeWorker.Run> runs = new ArrayList<>();
@@ -232,7 +168,7 @@
                 control,
                 process.timeSource(),
                 network.connectorOf(process),
-                new HandoverTimeouts(host.instance, traffic),
+                host.instance,
                 events);
         network.listen(host.member.name(), process, host.connections);
         host.connections.start();
--- a/src/test/java/org/gypsumflow/world/FakeWorker.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorker.java
@@ -281,7 +281,7 @@
         });
     }
 
-    private long clockMillis() {
+    long clockMillis() {
         return (long) ((clock.nanos() - bornNanos) / NANOS_PER_MILLI * clockRate);
     }
 
--- a/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
@@ -113,8 +113,7 @@
         worker = new FakeWorker(clock, random, nextId, agentName, clock.millis() + incarnations, capacity, runs, trace);
         trace.accept("worker " + nextId + " of " + agentName + " starts, born " + worker.bornMillis);
         FakeWorker started = worker;
-        clock.schedule(
-                Duration.ofMillis(random.nextInt(MAX_FIRST_REPORT_MILLIS)), () -> reportRegularly(started));
+        clock.schedule(Duration.ofMillis(random.nextInt(MAX_FIRST_REPORT_MILLIS)), () -> reportRegularly(started));
     }
 
     /** Crashes the worker; connections are refused until its next incarnation starts. */
@@ -187,7 +186,7 @@
             public CompletableFuture<TaskListing> renew(LeaseRenewal renewal) {
                 return call(process, CALL_TIMEOUT.plus(renewal.maxWait()), "a renewal", (target, response) -> {
                     if (!target.renew(renewal, response::complete)) {
-                        response.completeExceptionally(new IllegalStateException("got HTTP status 409"));
+                        response.completeExceptionally(WorkerClient.FencedException.create());
                     }
                 });
             }
@@ -198,7 +197,7 @@
         if (done) {
             response.complete(null);
         } else {
-            response.completeExceptionally(new IllegalStateException("got HTTP status 409"));
+            response.completeExceptionally(WorkerClient.FencedException.create());
         }
     }
 
@@ -276,7 +275,15 @@
             return;
         }
         WorkerReport report = new WorkerReport(
-                worker.id, worker.bornMillis, SERVICE, zone, worker.capacity, "rack", draining, ++sequence);
+                worker.id,
+                worker.bornMillis,
+                SERVICE,
+                zone,
+                worker.capacity,
+                "rack",
+                draining,
+                ++sequence,
+                worker.clockMillis());
         latestReport = report;
         deliver(() -> agent.workerReported(report));
     }
--- a/src/test/java/org/gypsumflow/world/MemberProcess.java
+++ b/src/test/java/org/gypsumflow/world/MemberProcess.java
@@ -49,7 +49,7 @@
         this.random = random;
         this.wallClock = wallClock;
         this.name = name;
-        this.originNanos = 1 + random.nextInt(1_000_000_000);
+        this.originNanos = 1L + random.nextInt(1_000_000_000);
         this.network = new FakeProcess(clock, name);
         this.control = new FakeProcess(clock, name);
         this.traffic = new FakeProcess(clock, name);
