--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -134,6 +134,7 @@
     private Set<AvailabilityZone> closedZones = Set.of();
     private boolean draining;
     private boolean reachable;
+    private boolean startsAllowed = true;
     private Actions actions = noActions();
 
     private AgentScheduler() {}
@@ -227,6 +228,20 @@
         }
     }
 
+    /**
+     * Sets whether runs may start now; while they may not, the waiting tasks stay and no others are accepted.
+     *
+     * @param allowed false while the lease of the worker must not be extended
+     * @param nowNanos current monotonic time
+     */
+    public void setStartsAllowed(boolean allowed, long nowNanos) {
+        if (startsAllowed == allowed) {
+            return;
+        }
+        startsAllowed = allowed;
+        startWaitingThatFit(nowNanos);
+    }
+
     /**
      * Sets the closed zones; if the worker's zone is one, its waiting tasks go back to their entries.
      *
@@ -543,10 +558,16 @@
     /**
      * Returns whether the worker gets new tasks.
      *
-     * @return true if the worker responds, neither it nor this process is draining, and its zone is not closed
+     * @return true if the worker responds and may start runs, neither it nor this process is draining, and its zone is
+     *     not closed
      */
     public boolean acceptsTasks() {
-        return worker != null && reachable && !draining && !worker.draining() && !closedZones.contains(worker.zone());
+        return worker != null
+                && reachable
+                && startsAllowed
+                && !draining
+                && !worker.draining()
+                && !closedZones.contains(worker.zone());
     }
 
     /**
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -123,6 +123,7 @@
      * Executes the actions that the scheduler has decided on since the last call, then renews the lease if necessary.
      */
     void executeActions() {
+        scheduler.setStartsAllowed(!lease.isClockKnown() || mayExtendLease(time.nanoTime()), time.nanoTime());
         Actions actions = scheduler.drainActions();
         while (!actions.isEmpty()) {
             actions.finishedAssignments().forEach(resultListener);
@@ -205,6 +206,7 @@
 
     private void renew() {
         expireLease();
+        renewalDue |= lease.isClockKnown() && !lease.canRequest(time.nanoTime());
         if (renewalPending
                 || workerStartedAtMillis == 0
                 || (scheduler.activeRunCount() == 0 && !renewalDue && !unresponsive)) {
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -18,6 +18,7 @@
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
+import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.JobId;
@@ -171,6 +172,14 @@
                 .toList();
     }
 
+    private WorkerStatus lastReportedStatus() {
+        List<AgentReport> reports = entry.sent().stream()
+                .filter(AgentReport.class::isInstance)
+                .map(AgentReport.class::cast)
+                .toList();
+        return reports.get(reports.size() - 1).workerStatus();
+    }
+
     @Test
     public void aResultIsReportedAsSoonAsTheWorkerListsTheFinishedTask() {
         assignTask();
@@ -219,6 +228,20 @@
                 >= Duration.ofHours(1).toMillis());
     }
 
+    // Guards against tasks that go to and fro between an entry and an agent that cannot start them.
+    @Test
+    public void noTasksAreAcceptedWhileTheWorkerDoesNotRespondAlthoughItReports() {
+        worker.closesConnections = true;
+        assignTask();
+        agent.workerReported(report());
+        assertFalse(lastReportedStatus().acceptsTasks());
+        worker.closesConnections = false;
+        executor.advance(150);
+        worker.completeRenewal();
+        executor.advance(150);
+        assertTrue(lastReportedStatus().acceptsTasks());
+    }
+
     // Guards against a lease that never expires because unanswered renewals extend it.
     @Test
     public void aRenewalDoesNotExtendTheLeaseWhileTheWorkerDoesNotRespond() {
