Give way to an entry that asks for a job during its handover

An entry with a pending handover replied to another entry that it did not have the job, and both started it when the owner had replied. It now gives way: its callers are told that the job may have run, it records the asking entry as the owner, and it replies when its own handover has completed. If the asking entry is the one that it asks itself, it replies at once: both give way, and neither waits for the other. The others are told of a handover when it begins, so that a third entry asks the one that takes the job over, not the former owner.

Before the change the tests printed: - anEntryThatIsAskedByTheOwnerDuringTheHandoverGivesWayAndRepliesAtOnce: expected [MAY_HAVE_RUN] but found [null] - aThirdEntryThatAsksDuringTheHandoverGetsAReplyOnlyAfterTheOwnerReplied: lists don't have the same size expected [1] but found [0]

Run: BestEffortEntry*Test,BestEffortT*Test,JobDispatcherTest,JobOwnerCacheTest, 55 tests passed.

--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -165,7 +165,7 @@
 
     /**
      * Asks a peer to abandon a job and stop its tasks, because its caller has contacted the sender. Unless the job was
-     * cancelled, the peer replies with {@link JobAbandoned}.
+     * cancelled, the sender owns the job from now on, and the peer replies with {@link JobAbandoned}.
      *
      * @param job id of the job
      * @param cancelled true if the caller cancelled the job, false if the sender is going to run it again
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -188,6 +188,12 @@
             startJob(submission);
             return;
         }
+        ShareJobs share = new ShareJobs(List.of(job));
+        peers.forEach((name, connection) -> {
+            if (!name.equals(owner.get())) {
+                connection.send(share);
+            }
+        });
         handovers.begin(submission, owner.get());
     }
 
@@ -358,10 +364,12 @@
             return;
         }
         boolean wasActive = dispatcher.abandon(job);
+        handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
+        jobOwners.recordAccepted(from, job, time.nanoTime());
         Connection peer = peers.get(from);
         if (peer != null) {
             JobAbandoned reply = new JobAbandoned(job, wasActive);
-            dispatcher.whenEnded(job, () -> peer.send(reply));
+            handovers.whenCompleted(job, from, () -> dispatcher.whenEnded(job, () -> peer.send(reply)));
         }
     }
 
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -62,6 +62,7 @@
         private final MemberName owner;
         private final long requestedNanos;
         private final List<Submission> submissions = new ArrayList<>();
+        private final List<Runnable> completionActions = new ArrayList<>();
         private boolean awaitsReply;
         private long notBeforeNanos;
 
@@ -154,6 +155,19 @@
         }
     }
 
+    /**
+     * Runs an action when the pending handover of a job has completed, since only then none of its runs is left; at
+     * once if there is none, or if the entry that asks is its owner, which would otherwise wait for itself.
+     */
+    void whenCompleted(JobId job, MemberName asking, Runnable action) {
+        Handover handover = handovers.get(job);
+        if (handover == null || handover.owner.equals(asking)) {
+            action.run();
+        } else {
+            handover.completionActions.add(action);
+        }
+    }
+
     /** Completes the submissions that wait for a job; the handover itself stays pending. Returns whether any waited. */
     boolean giveUp(JobId job, BestEffortOutcome outcome) {
         Handover handover = handovers.get(job);
@@ -209,6 +223,7 @@
             return;
         }
         handovers.remove(handover.job);
+        handover.completionActions.forEach(Runnable::run);
         listener.completed(handover.job, handover.owner, handover.requestedNanos, List.copyOf(handover.submissions));
     }
 }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -302,6 +302,35 @@
         assertEquals(assignments().size(), 1);
     }
 
+    // Guards against two entries that ask each other at the same time and both start the job, or neither replies.
+    @Test
+    public void anEntryThatIsAskedByTheOwnerDuringTheHandoverGivesWayAndRepliesAtOnce() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        assertEquals(sentTo(peer, JobAbandoned.class).size(), 1);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, false));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against a second start by a third entry while the owner's runs have not ended.
+    @Test
+    public void aThirdEntryThatAsksDuringTheHandoverGetsAReplyOnlyAfterTheOwnerReplied() {
+        RecordingConnection otherPeer = RecordingConnection.create();
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        assertEquals(otherPeer.sent(), List.of(new ShareJobs(List.of(JOB))));
+        entry.jobMessageReceived(OTHER_PEER, new AbandonJob(JOB, false));
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        assertTrue(sentTo(otherPeer, JobAbandoned.class).isEmpty());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(sentTo(otherPeer, JobAbandoned.class).size(), 1);
+        assertTrue(assignments().isEmpty());
+    }
+
     @Test
     public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
