Do not take over jobs on evidence from before a pause of this process

A paused entry started jobs after the pause whose handover was pending, although others may have taken them over meanwhile; and it counted the pause as silence of the owner, so that the time after the loss of an owner had passed at once. It now tells the waiting callers that the job may have run, and counts at most the time that the detection of a lost peer takes.

--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -380,6 +380,7 @@
 
     private void abandonAllJobs(String reason) {
         dispatcher.abandonAll(reason);
+        handovers.giveUpAll(BestEffortOutcome.mayHaveRun(reason));
     }
 
     private int activeJobCount() {
@@ -390,7 +391,7 @@
         long now = time.currentTimeMillis();
         long gapMillis = now - lastTickMillis;
         lastTickMillis = now;
-        if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis() && dispatcher.activeJobCount() > 0) {
+        if (gapMillis > BestEffortTimings.PAUSE_THRESHOLD.toMillis() && activeJobCount() > 0) {
             events.write(Event.PROCESS_PAUSED, gapMillis);
             abandonAllJobs("this host was paused for " + gapMillis + " ms");
         }
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -28,6 +28,10 @@
     /** Time for the response to reach the caller, and between two checks of the callers' deadlines. */
     private static final Duration RESPONSE_TIME = BestEffortTimings.REPORT_INTERVAL.plusMillis(30);
 
+    /** Maximum time after the last message of a peer at which its loss is noticed. */
+    private static final Duration MAX_DETECTION_TIME =
+            BestEffortTimings.HEARTBEAT_TIMEOUT.plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL);
+
     /** A job that a caller sent, with what is needed to start it later. */
     record Submission(
             BestEffortJob job,
@@ -139,11 +143,15 @@
     /**
      * Records that a peer is lost: no reply will come, and its agents stop its tasks.
      *
+     * <p>A silence that is longer than its detection takes was a pause of this process, which proves nothing about the
+     * peer. Then only the time that the detection takes is taken off.
+     *
      * @param peer the peer
      * @param lastMessageNanos monotonic time of its last message
      */
     void peerDisconnected(MemberName peer, long lastMessageNanos) {
-        long takeOverNanos = lastMessageNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
+        long silenceNanos = Math.min(time.nanoTime() - lastMessageNanos, MAX_DETECTION_TIME.toNanos());
+        long takeOverNanos = time.nanoTime() - silenceNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
         takeOverNanosByLostPeer.put(peer, takeOverNanos);
         for (Handover handover : List.copyOf(handovers.values())) {
             if (handover.owner.equals(peer)) {
@@ -174,6 +182,11 @@
         return handover != null && giveUp(handover, submission -> true, outcome);
     }
 
+    /** Completes all submissions that wait. */
+    void giveUpAll(BestEffortOutcome outcome) {
+        List.copyOf(handovers.values()).forEach(handover -> giveUp(handover, submission -> true, outcome));
+    }
+
     /** Completes the submissions whose callers cannot get the result in time any more. */
     void tick() {
         List.copyOf(handovers.values()).forEach(this::giveUpWhereTimeCannotSuffice);
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -331,6 +331,17 @@
         assertTrue(assignments().isEmpty());
     }
 
+    // Guards against a second start by an entry whose pause was so long that others took the job over.
+    @Test
+    public void anEntryThatWasPausedDuringTheHandoverDoesNotStartTheJob() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.advanceClockOnly(1000);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        assertTrue(assignments().isEmpty());
+    }
+
     @Test
     public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
@@ -366,4 +377,18 @@
         report(assignments().get(0), RunOutcome.DONE);
         assertTrue(drained.isDone());
     }
+
+    // Guards against a second start because this entry was paused and takes its own silence for that of the owner.
+    @Test
+    public void anEntryThatWasPausedDoesNotCountThePauseAsSilenceOfTheOwner() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        long lastMessageNanos = executor.timeSource().nanoTime();
+        executor.advanceClockOnly(5000);
+        entry.memberDisconnected(member(PEER, Member.Role.ENTRY), lastMessageNanos);
+        submit(JOB);
+        executor.advance(1500);
+        assertTrue(assignments().isEmpty());
+        executor.advance(200);
+        assertEquals(assignments().size(), 1);
+    }
 }
