--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -189,6 +189,12 @@
             startJob(submission);
             return;
         }
+        ShareJobs share = new ShareJobs(List.of(job));
+        peers.forEach((name, connection) -> {
+            if (!name.equals(owner.get())) {
+                connection.send(share);
+            }
+        });
         handovers.begin(submission, owner.get());
     }
 
@@ -364,10 +370,12 @@
             return;
         }
         boolean wasActive = dispatcher.abandon(job);
+        handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
+        jobOwners.recordAccepted(from, job, time.nanoTime());
         Connection peer = peers.get(from);
         if (peer != null) {
             JobAbandoned reply = new JobAbandoned(job, wasActive);
-            dispatcher.whenEnded(job, () -> peer.send(reply));
+            handovers.whenCompleted(job, from, () -> dispatcher.whenEnded(job, () -> peer.send(reply)));
         }
     }
 
@@ -378,6 +386,7 @@
 
     private void abandonAllJobs(String reason) {
         dispatcher.abandonAll(reason);
+        handovers.giveUpAll(BestEffortOutcome.mayHaveRun(reason));
     }
 
     private int activeJobCount() {
@@ -386,7 +395,7 @@
 
     private void detectPause() {
         Optional<Duration> pause = pauseDetector.detect();
-        if (pause.isPresent() && dispatcher.activeJobCount() > 0) {
+        if (pause.isPresent() && activeJobCount() > 0) {
             events.write(Event.PROCESS_PAUSED, pause.get().toMillis());
             abandonAllJobs("this host was paused for " + pause.get().toMillis() + " ms");
         }
