Reject members whose address can't be connected to

Another writer's record of the topic gypsumflow-members could hold port 0, -1, 65,536 or 70,000, or a host that isn't an IP address. The transport throws for such a port on the control thread, and looks a name up on its only thread. The address is now checked where a member is decoded, from the store as well as from an introduction.

Before, each of the ten addresses: 'Expected ValidationException to be thrown, but nothing was thrown'. Deep nesting (100,000 groups), cut-off bytes, a wrong length, bytes that aren't UTF-8 and JSON were rejected before, too, which the tests now hold.

--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.wire;
 
+import io.netty.util.NetUtil;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -19,6 +20,7 @@
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
@@ -30,6 +32,7 @@
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.wire.generated.AmountPart;
 import org.gypsumflow.wire.generated.EndedPart;
 import org.gypsumflow.wire.generated.EndingPart;
@@ -48,6 +51,7 @@
  */
 final class BestEffortCodec {
     private static final int HEXADECIMAL_RADIX = 16;
+    private static final int MAX_PORT = 65_535;
     private static final long NANOS_PER_MICRO = 1000;
 
     private BestEffortCodec() {}
@@ -129,12 +133,23 @@
                 .build();
     }
 
+    /**
+     * Decodes a member.
+     *
+     * @throws ValidationException if a name is invalid, the host is not an IP address, or the port is out of range
+     */
     static Member decode(MemberOfSystem part) {
+        String host = part.getHost();
+        Check.isTrue(
+                NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host),
+                "host",
+                "is \"" + host + "\", but must be an IP address");
+        Check.range("port", part.getPort(), 1, MAX_PORT);
         return new Member(
                 MemberName.of(part.getNode()),
                 part.getEntry() ? Member.Role.ENTRY : Member.Role.AGENT,
                 AvailabilityZone.of(part.getZone()),
-                part.getHost(),
+                host,
                 part.getPort());
     }
 
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -3,8 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import org.gypsumflow.model.AvailabilityZone;
@@ -121,6 +124,63 @@
         assertTrue(MessageCodec.encode(new AssignTasks(assignments)).getSerializedSize() < 2 * specification.length());
     }
 
+    @DataProvider
+    public Object[][] invalidAddresses() {
+        return new Object[][] {
+            {"10.1.0.13", 0},
+            {"10.1.0.13", -1},
+            {"10.1.0.13", 65_536},
+            {"10.1.0.13", 70_000},
+            {"10.1.0.13", Integer.MIN_VALUE},
+            {"", 7720},
+            {" ", 7720},
+            {"edge-sofia-1.example", 7720},
+            {"10.1.0.300", 7720},
+            {"1".repeat(100_000), 7720},
+        };
+    }
+
+    // Guards against an entry that connects to no further member: the port of another writer's record was out of range.
+    @Test(dataProvider = "invalidAddresses")
+    public void aMemberWithAnInvalidAddressIsRejected(String host, int port) {
+        byte[] stored = MemberCodec.encode(
+                new Member(MEMBER.name(), MEMBER.role(), MEMBER.zone(), host, MEMBER.port()).withPort(port));
+        ValidationException rejection = expectThrows(ValidationException.class, () -> MemberCodec.decode(stored));
+        assertTrue(rejection.getMessage().length() < 500);
+    }
+
+    @DataProvider
+    public Object[][] hostsThatAreAddresses() {
+        return new Object[][] {{"10.1.0.13"}, {"127.0.0.1"}, {"::1"}, {"2001:db8::7"}};
+    }
+
+    @Test(dataProvider = "hostsThatAreAddresses")
+    public void aMemberWithAnIpAddressIsDecoded(String host) {
+        Member member = new Member(MEMBER.name(), MEMBER.role(), MEMBER.zone(), host, 65_535);
+        assertEquals(MemberCodec.decode(MemberCodec.encode(member)), member);
+    }
+
+    @DataProvider
+    public Object[][] unreadableMembers() {
+        byte[] valid = MemberCodec.encode(MEMBER);
+        byte[] nested = new byte[100_000];
+        Arrays.fill(nested, (byte) 0x7B);
+        return new Object[][] {
+            {new byte[0]},
+            {new byte[] {(byte) 0xFF, (byte) 0xFE, (byte) 0xFD}},
+            {"{\"host\":\"10.1.0.13\"}".getBytes(StandardCharsets.UTF_8)},
+            {Arrays.copyOf(valid, valid.length - 1)},
+            {new byte[] {0x0A, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, 0x0F, 'a'}},
+            {new byte[] {0x0A, 2, (byte) 0xC3, (byte) 0x28}},
+            {nested},
+        };
+    }
+
+    @Test(dataProvider = "unreadableMembers")
+    public void aRecordThatHoldsNoMemberIsRejected(byte[] stored) {
+        assertThrows(ValidationException.class, () -> MemberCodec.decode(stored));
+    }
+
     @Test
     public void aMemberIsDecodedAsItWasEncodedAndAnInvalidOneIsRejected() {
         assertEquals(MemberCodec.decode(MemberCodec.encode(MEMBER)), MEMBER);
