Treat an exception of the connector as a failed connection attempt

An address that the transport rejects at once, such as a port out of range, left the member marked as being connected to for good, and the exception ended what the control thread was about to do: applying the rest of the page of members and reading the next one. It's logged as GF900 now, and the member is tried again like an unreachable one.

Before: 'IllegalArgument port out of range:70000', thrown out of maintainConnection.

--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -257,7 +257,7 @@
         if (stopped || member == null || connectionByName.containsKey(name) || !connecting.add(name)) {
             return;
         }
-        controlExecutor.whenDone(connector.connect(member, this), (connection, failure) -> {
+        controlExecutor.whenDone(open(member), (connection, failure) -> {
             if (failure != null) {
                 connecting.remove(name);
                 scheduleReconnect(name);
@@ -276,6 +276,15 @@
         });
     }
 
+    private CompletableFuture<Connection> open(Member member) {
+        try {
+            return connector.connect(member, this);
+        } catch (RuntimeException failure) {
+            events.write(Event.INTERNAL_ERROR, "the connection to " + member.name(), failure);
+            return CompletableFuture.failedFuture(failure);
+        }
+    }
+
     private void scheduleReconnect(MemberName name) {
         Duration delay = reconnectDelays.getOrDefault(name, INITIAL_RECONNECT_DELAY);
         Duration nextDelay = delay.multipliedBy(2);
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -62,6 +62,7 @@
     private ManualExecutor executor;
     private ConnectionManager connectionManager;
     private boolean reachable;
+    private boolean connectorThrows;
     private int connectAttempts;
 
     private static Member member(String name, Member.Role role) {
@@ -74,6 +75,7 @@
         connections.clear();
         connectAttempts = 0;
         reachable = true;
+        connectorThrows = false;
         executor = new ManualExecutor();
         connectionManager = ConnectionManager.create(
                 SELF,
@@ -88,6 +90,9 @@
 
     private CompletableFuture<Connection> connect() {
         connectAttempts++;
+        if (connectorThrows) {
+            throw new IllegalArgumentException("port out of range:70000");
+        }
         if (!reachable) {
             return CompletableFuture.failedFuture(new ConnectException("connection refused"));
         }
@@ -172,6 +177,18 @@
         assertEquals(connectAttempts, 2);
     }
 
+    // Guards against an entry that stopped following the store: the connector threw for an address out of range.
+    @Test
+    public void anAddressThatTheConnectorRejectsIsTriedAgainAndDisturbsNoOtherMember() {
+        connectorThrows = true;
+        connectionManager.maintainConnection(AGENT);
+        connectorThrows = false;
+        executor.advance(100);
+        assertEquals(connectAttempts, 2);
+        introduceMember(0);
+        assertEquals(notifications, List.of("connected"));
+    }
+
     @Test
     public void heartbeatsKeepAConnectionOpen() {
         connectionManager.maintainConnection(AGENT);
