Keep following the store after the receiver of a page throws

The next read was started only after the receiver had returned. One exception there, and the process never read that topic again: neither routes and closed zones nor members. The exception is logged as GF900 now, and the next read starts in any case.

--- a/src/main/java/org/gypsumflow/control/CompactedLogConsumer.java
+++ b/src/main/java/org/gypsumflow/control/CompactedLogConsumer.java
@@ -13,7 +13,8 @@
  * Reads a topic of a compacted log continuously and passes its records to two callbacks on the control thread: first
  * the latest record of each key, then each update.
  *
- * <p>Retries after outages, and starts over from the latest records when the log has deleted the next ones.
+ * <p>Retries after outages, and starts over from the latest records when the log has deleted the next ones. Continues
+ * with the next records after a callback has thrown an exception, which is logged.
  */
 public final class CompactedLogConsumer {
     /** Maximum time that a read waits for a record; calls are billed, and a long wait keeps a quiet topic cheap. */
@@ -53,7 +54,7 @@
      * @param controlExecutor serial executor of the control thread, on which both consumers are called
      * @param snapshotConsumer receives the latest record of each key, which replaces everything received before
      * @param updateConsumer receives later records in the order of their offsets
-     * @param events receives an event when the log becomes unreachable or reachable
+     * @param events receives an event when the log becomes unreachable or reachable, and when a callback throws
      * @return the consumer
      */
     public static CompactedLogConsumer create(
@@ -80,8 +81,7 @@
             }
             logReachable();
             nextOffset = page.endOffset();
-            snapshotConsumer.accept(page);
-            readUpdates();
+            acceptAndContinue(snapshotConsumer, page);
         });
     }
 
@@ -93,8 +93,7 @@
         if (failure == null) {
             logReachable();
             nextOffset = Math.max(nextOffset, page.endOffset());
-            updateConsumer.accept(page);
-            readUpdates();
+            acceptAndContinue(updateConsumer, page);
             return;
         }
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
@@ -106,6 +105,16 @@
         controlExecutor.schedule(RETRY_DELAY, this::readUpdates);
     }
 
+    private void acceptAndContinue(Consumer<Page> consumer, Page page) {
+        try {
+            consumer.accept(page);
+        } catch (RuntimeException failure) {
+            events.write(Event.INTERNAL_ERROR, "the consumer of " + topic, failure);
+        } finally {
+            readUpdates();
+        }
+    }
+
     private void logUnreachable(Throwable failure) {
         if (!unreachable) {
             unreachable = true;
