Ignore a member's record under the key of another member

A record of another writer that names a member which isn't its key replaced that member's address, so that entries lost it.

Before: 'lists don't have the same size expected [1] but found [2]'.

--- a/src/main/java/org/gypsumflow/control/MemberDiscovery.java
+++ b/src/main/java/org/gypsumflow/control/MemberDiscovery.java
@@ -5,6 +5,7 @@
 import org.gypsumflow.log.CompactedLog;
 import org.gypsumflow.log.CompactedLog.KeyedRecord;
 import org.gypsumflow.log.CompactedLog.Page;
+import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Member;
@@ -97,6 +98,10 @@
         }
         try {
             Member member = decoder.apply(record.value());
+            Check.isTrue(
+                    member.name().value().equals(record.key()),
+                    "node",
+                    "is \"" + member.name() + "\", but must be the key of the record");
             if (isInitiatedHere(member)) {
                 connectionManager.maintainConnection(member);
             }
