Log errors that an action of an executor throws

The thread survives a StackOverflowError or another error of an action, since the thread pool keeps it in a future that nobody reads: what was to follow never came, and no line said why.

--- a/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
+++ b/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
@@ -29,7 +29,7 @@
      * Creates an executor; its thread starts with the first action.
      *
      * @param name name of the thread
-     * @param events receives an event for each action that throws an exception
+     * @param events receives an event for each action that throws an exception or an error
      * @return the executor
      */
     public static SingleThreadExecutor create(String name, EventLog events) {
@@ -59,10 +59,11 @@
         thread.shutdownNow();
     }
 
+    // An error, such as a stack overflow, would vanish in the future that the thread pool keeps for the action.
     private void runSafely(Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             events.write(Event.INTERNAL_ERROR, "thread " + name, failure);
         }
     }
--- /dev/null
+++ b/src/test/java/org/gypsumflow/daemon/SingleThreadExecutorTest.java
@@ -0,0 +1,57 @@
+package org.gypsumflow.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.gypsumflow.model.Event;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class SingleThreadExecutorTest {
+    private static final long WAIT_SECONDS = 20;
+
+    private final List<Event> written = new CopyOnWriteArrayList<>();
+    private SingleThreadExecutor executor;
+
+    @BeforeMethod
+    public void startExecutor() {
+        written.clear();
+        executor = SingleThreadExecutor.create("test", (event, details) -> written.add(event));
+    }
+
+    @AfterMethod
+    public void stopExecutor() {
+        executor.close();
+    }
+
+    // The executor has to survive an error as it comes from the JVM.
+    @SuppressWarnings("ThrowError")
+    @DataProvider
+    public Object[][] throwingActions() {
+        Runnable exception = () -> {
+            throw new IllegalArgumentException("port out of range:70000");
+        };
+        Runnable error = () -> {
+            throw new StackOverflowError();
+        };
+        return new Object[][] {{exception}, {error}};
+    }
+
+    // Guards against an error that no log line tells: what was to follow the action never came, and nothing said why.
+    @Test(dataProvider = "throwingActions")
+    public void whatAnActionThrowsIsLoggedAndTheNextActionRuns(Runnable throwing) throws InterruptedException {
+        CountDownLatch nextRan = new CountDownLatch(1);
+        executor.execute(throwing);
+        executor.schedule(Duration.ZERO, throwing);
+        executor.schedule(Duration.ofMillis(1), nextRan::countDown);
+        assertTrue(nextRan.await(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(written, List.of(Event.INTERNAL_ERROR, Event.INTERNAL_ERROR));
+    }
+}
