Run a periodic action again after it has thrown

A periodic action, such as the check of the connections, the agent's and the entry's tick, ended for good when it threw once. The next run is scheduled in any case now; the exception is logged as before.

Before: 'expected [true] but found [false]' for an exception and for an error: the second run didn't come within 20 s.

--- a/src/main/java/org/gypsumflow/control/SerialExecutor.java
+++ b/src/main/java/org/gypsumflow/control/SerialExecutor.java
@@ -29,15 +29,21 @@
     }
 
     /**
-     * Runs an action periodically on this executor until it returns false.
+     * Runs an action periodically on this executor until it returns false. It runs again after it has thrown an
+     * exception, which is handled like that of any other action of this executor.
      *
      * @param delay time before the first run, and between the end of one run and the start of the next
      * @param action returns whether to schedule another run
      */
     default void scheduleWithFixedDelay(Duration delay, BooleanSupplier action) {
         schedule(delay, () -> {
-            if (action.getAsBoolean()) {
-                scheduleWithFixedDelay(delay, action);
+            boolean runAgain = true;
+            try {
+                runAgain = action.getAsBoolean();
+            } finally {
+                if (runAgain) {
+                    scheduleWithFixedDelay(delay, action);
+                }
             }
         });
     }
--- a/src/test/java/org/gypsumflow/daemon/SingleThreadExecutorTest.java
+++ b/src/test/java/org/gypsumflow/daemon/SingleThreadExecutorTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gypsumflow.model.Event;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -54,4 +55,20 @@
         assertTrue(nextRan.await(WAIT_SECONDS, TimeUnit.SECONDS));
         assertEquals(written, List.of(Event.INTERNAL_ERROR, Event.INTERNAL_ERROR));
     }
+
+    // Guards against a check, such as that of the connections, that ended for good when it threw once.
+    @Test(dataProvider = "throwingActions")
+    public void aPeriodicActionThatThrowsOnceRunsAgain(Runnable throwing) throws InterruptedException {
+        AtomicInteger runs = new AtomicInteger();
+        CountDownLatch ranThrice = new CountDownLatch(3);
+        executor.scheduleWithFixedDelay(Duration.ofMillis(1), () -> {
+            ranThrice.countDown();
+            if (runs.incrementAndGet() == 1) {
+                throwing.run();
+            }
+            return runs.get() < 3;
+        });
+        assertTrue(ranThrice.await(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(written, List.of(Event.INTERNAL_ERROR));
+    }
 }
