Reject numbers of the platform's messages that are out of range instead of cutting them off

Integers were cast: a job of 4,294,967,297 tasks ran as one task and was answered as done, one of 2,147,483,647 took the entry's memory, a capacity of 4,294,983,296 became 16,000, run 4,294,967,298 of a listing became run 2, and an end numbered 9,223,372,036,854,775,808 a negative one. The version of the routes was cut off alike, and 1e999 became the longest duration, whose nanoseconds overflow. Each reader now names its range; the message of a rejection is GF613 or the 400 of the request, as for any invalid field.

Also rejected: operator records whose routes are missing or no list (all routes were dropped), and services, running and finished that are no lists. A record of routes is valid or invalid as a whole. The progress of a run is only a hint: it's limited to 0 to 100 and never makes a listing invalid.

--- a/src/main/java/org/gypsumflow/platform/BestEffortJobParser.java
+++ b/src/main/java/org/gypsumflow/platform/BestEffortJobParser.java
@@ -8,13 +8,14 @@
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.JobId;
-import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.Route;
 
 /** Parses the body of a job request. */
 final class BestEffortJobParser {
     /** The platform's bound on the text that a worker is told to run; in bytes there, counted in characters here. */
     private static final int MAX_SPECIFICATION_CHARACTERS = 4000;
+    /** Maximum number of tasks, which are tracked one by one; their indexes have at most 6 digits. */
+    private static final int MAX_TASKS = 100_000;
     /** Run duration assumed for a job without an estimate. */
     private static final long DEFAULT_ESTIMATE_MILLIS = 1000;
     /** Fields of a step that best-effort jobs support. */
@@ -48,17 +49,14 @@
         if (!supported) {
             return Optional.empty();
         }
-        Resources resourcesPerTask =
-                Resources.of((int) Json.integerOrZero(step, "cpu"), (int) Json.integerOrZero(step, "memMb"), (int)
-                        Json.integerOrZero(step, "gpu"));
-        long estimateMillis = Json.integerOrZero(step, "estimateMs");
+        long estimateMillis = Json.integerOrZero(step, "estimateMs", 0, Json.MAX_DURATION_MILLIS);
         return Optional.of(new BestEffortJob(
                 id,
                 route,
                 routesVersion,
                 specification,
-                (int) Json.requiredInteger(step, "count"),
-                resourcesPerTask,
+                (int) Json.requiredInteger(step, "count", 1, MAX_TASKS),
+                Json.resources(step, false),
                 Duration.ofMillis(estimateMillis > 0 ? estimateMillis : DEFAULT_ESTIMATE_MILLIS)));
     }
 
--- a/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
+++ b/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
@@ -25,6 +25,7 @@
 public final class HttpWorkerClient implements WorkerClient {
     private static final int OK = 200;
     private static final int CONFLICT = 409;
+    private static final int MAX_PERCENT = 100;
     /** Timeout of a start or a stop; the request stays on one machine and takes a few milliseconds. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(400);
 
@@ -92,7 +93,9 @@
     /** Maps the response to a start to a status; an unknown response counts as refused. */
     static StartResponse parseStartResponse(ClientResponse response) {
         JsonNode body = response.body().length == 0 ? null : Json.parseObject(response.body());
-        long clockMillis = body != null && body.path("clockMs").isIntegralNumber()
+        long clockMillis = body != null
+                        && body.path("clockMs").isIntegralNumber()
+                        && body.path("clockMs").canConvertToLong()
                 ? body.path("clockMs").longValue()
                 : -1;
         if (response.status() == OK) {
@@ -123,22 +126,32 @@
      */
     static TaskListing parseTaskListing(JsonNode body) {
         List<RunningTask> running = new ArrayList<>();
-        for (JsonNode row : body.path("running")) {
+        for (JsonNode row : Json.arrayOrEmpty(body, "running")) {
             running.add(new RunningTask(
-                    BestEffortTaskIdFormat.parse(row.path(0).asText()),
-                    RunNumber.of(row.path(1).asInt()),
-                    row.path(3).asInt()));
+                    BestEffortTaskIdFormat.parse(row.path(0).asText()), parseRun(row.path(1)), percent(row.path(3))));
         }
         List<FinishedTask> finished = new ArrayList<>();
-        for (JsonNode row : body.path("finished")) {
+        for (JsonNode row : Json.arrayOrEmpty(body, "finished")) {
             finished.add(new FinishedTask(
-                    row.path(0).asLong(),
+                    Json.integer(row.path(0), "number of an end", 0, Long.MAX_VALUE),
                     BestEffortTaskIdFormat.parse(row.path(1).asText()),
-                    RunNumber.of(row.path(2).asInt()),
+                    parseRun(row.path(2)),
                     parseOutcome(row.path(3).asText())));
         }
         return new TaskListing(
-                Json.integerOrZero(body, "born"), Json.requiredInteger(body, "clockMs"), running, finished);
+                Json.integerOrZero(body, "born", 0, Json.MAX_EPOCH_MILLIS),
+                Json.requiredInteger(body, "clockMs", 0, Json.MAX_EPOCH_MILLIS),
+                running,
+                finished);
+    }
+
+    private static RunNumber parseRun(JsonNode value) {
+        return RunNumber.of((int) Json.integer(value, "run", 1, Integer.MAX_VALUE));
+    }
+
+    /** Reads a progress, which only serves to find stalled tasks; anything but a number counts as no progress. */
+    private static int percent(JsonNode value) {
+        return (int) Math.max(0, Math.min(MAX_PERCENT, value.asDouble()));
     }
 
     private static RunOutcome parseOutcome(String outcome) {
--- a/src/main/java/org/gypsumflow/platform/OperatorRecordReader.java
+++ b/src/main/java/org/gypsumflow/platform/OperatorRecordReader.java
@@ -12,6 +12,7 @@
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage.ClosedZones;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
+import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Route;
@@ -30,6 +31,9 @@
     public static final String TOPIC = "op";
 
     private static final String ROUTES_KEY = "config";
+    /** Maximum factor of a latency objective that is read; its product with a duration fits into 64 bits. */
+    private static final double MAX_LATENCY_FACTOR = 1000;
+
     private static final String EVACUATION_PREFIX = "evacuate/";
 
     private final Consumer<ShareRoutingState> listener;
@@ -94,25 +98,32 @@
 
     static RoutingTable parseRoutes(JsonNode body) {
         List<Route> routes = new ArrayList<>();
+        Check.isTrue(body.path("routes").isArray(), "routes", "is missing or not an array");
         for (JsonNode route : body.path("routes")) {
             routes.add(new Route(
                     RouteName.of(Json.requiredString(route, "name")),
                     Json.optionalString(route, "host").orElse(""),
                     Json.requiredString(route, "pathPrefix"),
                     ServiceName.of(Json.requiredString(route, "service")),
-                    (int) Json.integerOrZero(route, "priority"),
-                    (int) Math.max(1, Json.integerOrZero(route, "maxAttempts")),
-                    Json.numberOrDefault(route, "stretch", 1),
-                    Duration.ofMillis((long) Json.numberOrDefault(route, "targetLatencyMs", 0)),
-                    Duration.ofMillis((long) Json.numberOrDefault(route, "timeoutMs", 0))));
+                    (int) Json.integerOrZero(route, "priority", 0, Integer.MAX_VALUE),
+                    (int) Math.max(1, Json.integerOrZero(route, "maxAttempts", 0, Integer.MAX_VALUE)),
+                    Json.numberOrDefault(route, "stretch", 1, 0, MAX_LATENCY_FACTOR),
+                    durationOrZero(route, "targetLatencyMs"),
+                    durationOrZero(route, "timeoutMs")));
         }
         Set<ServiceName> capacityEnforcing = new TreeSet<>();
-        for (JsonNode service : body.path("services")) {
+        for (JsonNode service : Json.arrayOrEmpty(body, "services")) {
             if (Json.booleanOrFalse(service, "enforcesCapacity")) {
                 capacityEnforcing.add(ServiceName.of(Json.requiredString(service, "name")));
             }
         }
         return new RoutingTable(
-                Json.requiredInteger(body, "version"), List.copyOf(routes), Set.copyOf(capacityEnforcing));
+                Json.requiredInteger(body, "version", 0, Long.MAX_VALUE),
+                List.copyOf(routes),
+                Set.copyOf(capacityEnforcing));
+    }
+
+    private static Duration durationOrZero(JsonNode route, String field) {
+        return Duration.ofMillis((long) Json.numberOrDefault(route, field, 0, 0, Json.MAX_DURATION_MILLIS));
     }
 }
--- a/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
+++ b/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
@@ -10,7 +10,6 @@
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
-import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.model.WorkerReport;
@@ -43,7 +42,10 @@
             try {
                 workerReported.accept(parse(request.path(), Json.parseObject(request.body())));
             } catch (ValidationException unreadable) {
-                events.write(Event.MESSAGE_UNREADABLE, "a report of worker " + request.path(), unreadable.getMessage());
+                events.write(
+                        Event.MESSAGE_UNREADABLE,
+                        "a report of worker " + shortId(request.path()),
+                        unreadable.getMessage());
             }
             return acknowledged();
         });
@@ -69,18 +71,19 @@
         JsonNode labels = report.path("labels");
         return new WorkerReport(
                 worker,
-                Json.integerOrZero(report, "born"),
+                Json.integerOrZero(report, "born", 0, Json.MAX_EPOCH_MILLIS),
                 ServiceName.of(Json.requiredString(report, "service")),
                 AvailabilityZone.of(Json.requiredString(report, "zone")),
-                Resources.of(
-                        (int) Json.requiredInteger(capacity, "cpu"),
-                        (int) Json.requiredInteger(capacity, "memMb"),
-                        (int) Json.integerOrZero(capacity, "gpu")),
+                Json.resources(capacity, true),
                 labels.isArray() && labels.size() > RACK_LABEL
                         ? labels.get(RACK_LABEL).asText()
                         : "",
                 state.equals("draining"),
-                Json.requiredInteger(report, "sequence"));
+                Json.requiredInteger(report, "sequence", 0, Long.MAX_VALUE));
+    }
+
+    private static String shortId(String worker) {
+        return worker.length() <= Check.MAX_NAME_LENGTH ? worker : worker.substring(0, Check.MAX_NAME_LENGTH) + "...";
     }
 
     private static CompletableFuture<ServerResponse> acknowledged() {
--- a/src/test/java/org/gypsumflow/platform/BestEffortJobParserTest.java
+++ b/src/test/java/org/gypsumflow/platform/BestEffortJobParserTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -65,6 +66,38 @@
         };
     }
 
+    @DataProvider
+    public Object[][] oddBodies() {
+        String job = "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":1,%s}]}";
+        return new Object[][] {
+            {"[".repeat(100_000)},
+            {"{\"bestEffort\":true,\"steps\":" + "[".repeat(100_000) + "]".repeat(100_000) + "}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":4294967297}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":18446744073709551617}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":2147483647}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":-1}]}"},
+            {"{\"bestEffort\":true,\"steps\":[{\"count\":1e999}]}"},
+            {"{\"bestEffort\":true,\"steps\":[7]}"},
+            {String.format(job, "\"cpu\":4294967296")},
+            {String.format(job, "\"cpu\":-500")},
+            {String.format(job, "\"memMb\":4294967297")},
+            {String.format(job, "\"gpu\":4294967296")},
+            {String.format(job, "\"estimateMs\":9223372036854775807")},
+            {String.format(job, "\"estimateMs\":18446744073709551617")},
+            {String.format(job, "\"estimateMs\":-1")},
+            {String.format(job, "\"estimateMs\":\"" + "9".repeat(100_000) + "\"")},
+        };
+    }
+
+    // Guards against a job of 4,294,967,297 tasks that was answered as done after one of them.
+    @Test(dataProvider = "oddBodies")
+    public void anOddBodyIsRejectedWithABriefReason(String body) {
+        ValidationException rejection = expectThrows(ValidationException.class, () -> parse(body));
+        assertTrue(
+                rejection.getMessage().length() < 500,
+                "length: " + rejection.getMessage().length());
+    }
+
     @Test(dataProvider = "invalidBodies")
     public void anInvalidBodyIsRejected(String body) {
         assertThrows(ValidationException.class, () -> parse(body));
--- a/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
+++ b/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
@@ -63,6 +63,46 @@
                         new FinishedTask(59, TASK, RunNumber.of(3), RunOutcome.DONE)));
     }
 
+    @DataProvider
+    public Object[][] oddListings() {
+        String listing = "{\"clockMs\":1,\"born\":7,\"running\":[%s],\"finished\":[%s]}";
+        String task = "\"5c0e7a21d94b36f8.0.0.9\"";
+        return new Object[][] {
+            {String.format(listing, "[" + task + ",4294967298,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",18446744073709551618,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",0,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",\"2\",\"\",41,3]", "")},
+            {String.format(listing, "[" + task + "]", "")},
+            {String.format(listing, "", "[9223372036854775808," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[18446744073709551674," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[\"58\"," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[58," + task + ",4294967297,\"done\",\"\"]")},
+            {listing.replace("\"clockMs\":1", "\"clockMs\":18446744073709551617")},
+            {listing.replace("\"born\":7", "\"born\":18446744073709551623")},
+            {"{\"clockMs\":1,\"running\":7}"},
+            {"{\"clockMs\":1,\"finished\":{\"a\":7}}"},
+            {String.format(listing, "[".repeat(100_000) + "]".repeat(100_000), "")},
+        };
+    }
+
+    // Guards against a run or an end that is taken for another one: a number of the listing was cut off.
+    @Test(dataProvider = "oddListings")
+    public void anOddTaskListingIsRejected(String body) {
+        assertThrows(ValidationException.class, () -> HttpWorkerClient.parseTaskListing(Json.parseObject(bytes(body))));
+    }
+
+    @DataProvider
+    public Object[][] oddProgress() {
+        return new Object[][] {{"4294967296", 100}, {"1e999", 100}, {"-1", 0}, {"\"\"", 0}, {"[]", 0}, {"41.5", 41}};
+    }
+
+    @Test(dataProvider = "oddProgress")
+    public void aProgressIsReadAsAShareOfAHundred(String progress, int percent) {
+        TaskListing listing = HttpWorkerClient.parseTaskListing(Json.parseObject(
+                bytes("{\"clockMs\":1,\"running\":[[\"5c0e7a21d94b36f8.0.0.9\",2,\"\"," + progress + "]]}")));
+        assertEquals(listing.running(), List.of(new RunningTask(TASK, RunNumber.of(2), percent)));
+    }
+
     @Test
     public void aTaskListingWithoutAClockIsRejected() {
         assertThrows(
