Skip the store's records that can't be read and keep the others of the page

A record without content, which anyone may append to gypsumflow-members, made the whole page fail, and the same page was read again every 400 ms for good: no member or routes that came later were seen. So did a value that isn't base64 among the newest records. A key length beyond the record gave a record under a wrong key, and a page that breaks off within a record gave half a record. Records that can't be read are logged (GF613) and skipped; a page that breaks off ends before the broken record, and fails if it's the first. A missing end offset fails instead of counting as 0, and a 410 starts over whatever its body holds.

Before: 'Completion ValidationException: field "record": is empty', 'NegativeArraySizeException: -1', 'Illegal base64 character 2a', 'expected [6] but found [7]' and 'lists don't have the same size expected [2] but found [3]'.

--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -62,7 +62,7 @@
         this.httpServer =
                 GrizzlyHttpServer.create(httpAddress.getAddress().getHostAddress(), httpAddress.getPort(), 1, events);
         this.store = HttpCompactedLog.create(
-                HttpClient.createOnTransportOf(httpServer, STORE_CONNECTIONS), settings.storeAddress());
+                HttpClient.createOnTransportOf(httpServer, STORE_CONNECTIONS), settings.storeAddress(), events);
     }
 
     static Daemon start(BestEffortSettings settings) {
--- a/src/main/java/org/gypsumflow/platform/HttpCompactedLog.java
+++ b/src/main/java/org/gypsumflow/platform/HttpCompactedLog.java
@@ -1,12 +1,12 @@
 package org.gypsumflow.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.ByteArrayOutputStream;
 import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +15,9 @@
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.gypsumflow.log.CompactedLog;
 import org.gypsumflow.model.Check;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.ValidationException;
 
 /** Client of the compacted topics in the platform's store over HTTP; every topic has its records in partition 0. */
 public final class HttpCompactedLog implements CompactedLog {
@@ -30,10 +33,12 @@
 
     private final HttpClient httpClient;
     private final String baseUrl;
+    private final EventLog events;
 
-    private HttpCompactedLog(HttpClient httpClient, String address) {
+    private HttpCompactedLog(HttpClient httpClient, String address, EventLog events) {
         this.httpClient = httpClient;
         this.baseUrl = "http://" + address;
+        this.events = events;
     }
 
     /**
@@ -41,10 +46,11 @@
      *
      * @param httpClient sends the requests; it is not closed by this client
      * @param address address of the store, as {@code host:port}
+     * @param events receives an event for each record that cannot be parsed and is skipped
      * @return the client
      */
-    public static HttpCompactedLog create(HttpClient httpClient, String address) {
-        return new HttpCompactedLog(httpClient, address);
+    public static HttpCompactedLog create(HttpClient httpClient, String address, EventLog events) {
+        return new HttpCompactedLog(httpClient, address, events);
     }
 
     @Override
@@ -60,11 +66,10 @@
                 .get(baseUrl + query, Map.of(), RESPONSE_TIMEOUT.plus(maxWait))
                 .thenApply(response -> {
                     if (response.status() == GONE) {
-                        throw new ExpiredException(
-                                Json.parseObject(response.body()).path("first").asLong());
+                        throw new ExpiredException(firstRetainedOffset(response.body()));
                     }
                     requireOk(response);
-                    return parsePage(response.body(), fromOffset);
+                    return parsePage(topic, response.body(), fromOffset);
                 });
     }
 
@@ -103,48 +108,85 @@
                 .thenCompose(response -> {
                     requireOk(response);
                     JsonNode page = Json.parseObject(response.body());
-                    for (JsonNode item : page.path("items")) {
-                        byte[] value =
-                                Base64.getDecoder().decode(item.path("value").asText());
-                        found.add(new KeyedRecord(
-                                item.path("key").asText(),
-                                value,
-                                item.path("offset").asLong()));
-                    }
-                    long minEndOffset = Math.min(endOffset, page.path("end").asLong());
-                    if (page.path("more").asBoolean() && !found.isEmpty()) {
-                        return readLatestAfter(
-                                topic, found.get(found.size() - 1).key(), found, minEndOffset);
+                    JsonNode items = Json.arrayOrEmpty(page, "items");
+                    items.forEach(item -> addItem(topic, item, found));
+                    long minEndOffset = Math.min(endOffset, Json.requiredInteger(page, "end", 0, Long.MAX_VALUE));
+                    if (Json.booleanOrFalse(page, "more")) {
+                        String lastKey = Json.requiredString(items.path(items.size() - 1), "key");
+                        Check.isTrue(!lastKey.equals(afterKey), "items", "end with the key that precedes them");
+                        return readLatestAfter(topic, lastKey, found, minEndOffset);
                     }
                     return CompletableFuture.completedFuture(new Page(found, minEndOffset));
                 });
     }
 
+    private void addItem(String topic, JsonNode item, List<KeyedRecord> found) {
+        try {
+            found.add(new KeyedRecord(
+                    Json.requiredString(item, "key"),
+                    decodeBase64(Json.requiredString(item, "value")),
+                    Json.requiredInteger(item, "offset", 0, Long.MAX_VALUE)));
+        } catch (ValidationException unreadable) {
+            events.write(Event.MESSAGE_UNREADABLE, "a record of topic " + topic, unreadable.getMessage());
+        }
+    }
+
+    private static byte[] decodeBase64(String text) {
+        try {
+            return Base64.getDecoder().decode(text);
+        } catch (IllegalArgumentException malformed) {
+            throw ValidationException.of("value", "is not base64: " + malformed.getMessage());
+        }
+    }
+
+    /** Returns the offset that a response names, for the message only; -1 if it cannot be parsed. */
+    private static long firstRetainedOffset(byte[] body) {
+        try {
+            return Json.requiredInteger(Json.parseObject(body), "first", 0, Long.MAX_VALUE);
+        } catch (ValidationException unreadable) {
+            return -1;
+        }
+    }
+
     /**
      * Parses a page: its header, then records, each after its length in 4 bytes; a record begins with its key's length.
+     *
+     * <p>A record without a whole key is logged and skipped. A page that breaks off within a record ends before it.
+     *
+     * @throws ValidationException if the header is incomplete, or the page breaks off within its first record
      */
-    static Page parsePage(byte[] body, long fromOffset) {
+    private Page parsePage(String topic, byte[] body, long fromOffset) {
         Check.isTrue(body.length >= READ_HEADER_BYTES, "body", "is shorter than the header of a page");
         ByteBuffer buffer = ByteBuffer.wrap(body);
         buffer.getLong();
-        long offset = Math.max(fromOffset, buffer.getLong());
+        long firstOffset = Math.max(fromOffset, buffer.getLong());
+        long offset = firstOffset;
         List<KeyedRecord> records = new ArrayList<>();
-        while (buffer.remaining() >= Integer.BYTES) {
-            byte[] recordBytes = new byte[Math.min(buffer.getInt(), buffer.remaining())];
-            buffer.get(recordBytes);
-            records.add(parseRecord(recordBytes, offset));
+        while (buffer.hasRemaining()) {
+            int length = buffer.remaining() < Integer.BYTES ? -1 : buffer.getInt();
+            if (length < 0 || length > buffer.remaining()) {
+                Check.isTrue(offset > firstOffset, "body", "breaks off within the record at offset " + offset);
+                break;
+            }
+            byte[] record = new byte[length];
+            buffer.get(record);
+            addRecord(topic, record, offset, records);
             offset++;
         }
         return new Page(records, offset);
     }
 
-    private static KeyedRecord parseRecord(byte[] record, long offset) {
-        Check.isTrue(record.length > 0, "record", "is empty");
-        int keyLength = Math.min(record[0] & 0xFF, record.length - 1);
+    private void addRecord(String topic, byte[] record, long offset, List<KeyedRecord> records) {
+        int keyLength = record.length == 0 ? 0 : record[0] & 0xFF;
+        if (record.length <= keyLength) {
+            events.write(
+                    Event.MESSAGE_UNREADABLE,
+                    "record " + offset + " of topic " + topic,
+                    "its " + record.length + " bytes do not hold a whole key");
+            return;
+        }
         String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
-        ByteArrayOutputStream value = new ByteArrayOutputStream();
-        value.write(record, 1 + keyLength, record.length - 1 - keyLength);
-        return new KeyedRecord(key, value.toByteArray(), offset);
+        records.add(new KeyedRecord(key, Arrays.copyOfRange(record, 1 + keyLength, record.length), offset));
     }
 
     private static void requireOk(ClientResponse response) {
