Reject timeouts and deadlines of a job beyond 64 bits

A timeoutMillis of 18,446,744,073,709,551,621 was cut off to 5 ms, and a deadline in the year 1,000,000,000 was answered as an internal error, status 500, instead of an invalid field.

Before: 'Expected ValidationException to be thrown, but nothing was thrown' and 'but ArithmeticException was thrown' (two deadlines).

--- a/src/main/java/org/gypsumflow/http/JobJson.java
+++ b/src/main/java/org/gypsumflow/http/JobJson.java
@@ -104,7 +104,10 @@
         Check.isTrue(
                 timeoutMillis == null || deadline == null, "deadline", "must not be combined with \"timeoutMillis\"");
         if (timeoutMillis != null) {
-            Check.isTrue(timeoutMillis.isIntegralNumber(), "timeoutMillis", "must be a whole number");
+            Check.isTrue(
+                    timeoutMillis.isIntegralNumber() && timeoutMillis.canConvertToLong(),
+                    "timeoutMillis",
+                    "must be a whole number of at most 64 bits");
             return Duration.ofMillis(timeoutMillis.longValue());
         }
         return deadline == null ? DEFAULT_TIMEOUT : timeUntilDeadline(deadline, now);
@@ -114,7 +117,14 @@
         Check.isTrue(deadline.isTextual(), "deadline", "must be a string such as \"2030-01-31T12:00:00Z\"");
         try {
             Duration remainingTime = Duration.between(now, Instant.parse(deadline.textValue()));
-            Check.isTrue(remainingTime.toMillis() > 0, "deadline", "\"" + deadline.textValue() + "\" has passed");
+            Check.isTrue(
+                    remainingTime.compareTo(Duration.ofMillis(1)) >= 0,
+                    "deadline",
+                    "\"" + deadline.textValue() + "\" has passed");
+            Check.isTrue(
+                    remainingTime.compareTo(JobRequest.MAX_TIMEOUT) <= 0,
+                    "deadline",
+                    "\"" + deadline.textValue() + "\" is more than " + JobRequest.MAX_TIMEOUT.toMillis() + " ms away");
             return remainingTime;
         } catch (DateTimeParseException malformed) {
             throw ValidationException.of(
