End the read of a stream whose page can't be applied

The future of the read never completed, so that the entry counted itself as polling and never polled its streams again. It fails now like a read that times out, and is tried again.

Before: 'expected [true] but found [false]': the future wasn't completed.

--- a/src/main/java/org/gypsumflow/control/TypedLogReader.java
+++ b/src/main/java/org/gypsumflow/control/TypedLogReader.java
@@ -27,7 +27,8 @@
      * @param nextOffset supplies the offset to read from; called again for each page
      * @param pageConsumer processes a page and advances the offset
      * @param <T> type of the records
-     * @return completes when a page has reached the head, or exceptionally when a read fails or times out
+     * @return completes when a page has reached the head, or exceptionally when a read fails or times out, or a page
+     *     cannot be processed
      */
     public static <T> CompletableFuture<Void> readToHead(
             TypedLog<T> log,
@@ -53,7 +54,12 @@
                         done.completeExceptionally(failure);
                         return;
                     }
-                    pageConsumer.accept(page);
+                    try {
+                        pageConsumer.accept(page);
+                    } catch (RuntimeException invalidPage) {
+                        done.completeExceptionally(invalidPage);
+                        return;
+                    }
                     if (nextOffset.getAsLong() >= page.headOffset()) {
                         done.complete(null);
                         return;
