Answer requests whose body arrives in more than two parts

The reader of a body registered itself again from within its callback. On Grizzly's selector thread the third part then never arrived: a request of 200,000 bytes was never answered, although 4 MiB are allowed. Found by a deregistration of 100,000 nested objects. The server now asks to be called once the body is complete or exceeds the limit.

The new test class on the old code: its chunked request never came to an end, and the run was ended by hand; its tests of such bodies now have a time limit.

--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -326,16 +325,15 @@
             }
             NIOInputStream input = request.getNIOInputStream();
             response.suspend();
-            input.notifyAvailable(new BodyReader(input, request, response));
+            input.notifyAvailable(new BodyReader(input, request, response), MAX_BODY_BYTES + 1);
         }
     }
 
-    /** Collects a body as its parts arrive, so that a slow client does not block a thread. */
+    /** Reads a body once it has arrived, so that a slow client does not block a thread. */
     private final class BodyReader implements ReadHandler {
         private final NIOInputStream input;
         private final Request request;
         private final Response response;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
         private BodyReader(NIOInputStream input, Request request, Response response) {
             this.input = input;
@@ -343,33 +341,26 @@
             this.response = response;
         }
 
+        /** Called when a body without a declared length has exceeded the limit. */
         @Override
-        public void onDataAvailable() throws IOException {
-            collect();
-            input.notifyAvailable(this);
+        public void onDataAvailable() {
+            writeAndResume(response, errorResponse(bodyTooLarge()).withHeader("Connection", "close"));
         }
 
         @Override
         public void onAllDataRead() throws IOException {
-            collect();
-            if (body.size() > MAX_BODY_BYTES) {
+            int length = input.available();
+            if (length > MAX_BODY_BYTES) {
                 writeAndResume(response, errorResponse(bodyTooLarge()));
                 return;
             }
-            dispatch(request, response, body.toByteArray());
+            dispatch(request, response, input.readNBytes(length));
         }
 
         @Override
         public void onError(Throwable failure) {
             response.resume();
         }
-
-        private void collect() throws IOException {
-            int available = input.available();
-            if (available > 0) {
-                body.write(input.readNBytes(available));
-            }
-        }
     }
 
     private static RequestError bodyTooLarge() {
--- /dev/null
+++ b/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
@@ -0,0 +1,102 @@
+package org.gypsumflow.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.http.GrizzlyHttpServer.ServerResponse;
+import org.gypsumflow.http.HttpClient.ClientResponse;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class GrizzlyHttpServerTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final int CHUNK_BYTES = 60_000;
+
+    private GrizzlyHttpServer server;
+    private HttpClient httpClient;
+    private int port;
+
+    @BeforeMethod
+    public void startAServerThatAnswersWithTheLengthOfTheBody() {
+        server = GrizzlyHttpServer.create("127.0.0.1", 0, 1, (event, details) -> {});
+        server.addHandler(
+                "POST",
+                "/length",
+                request -> CompletableFuture.completedFuture(
+                        ServerResponse.text(200, Integer.toString(request.body().length))));
+        port = server.start();
+        httpClient = HttpClient.create();
+    }
+
+    @AfterMethod
+    public void stopServer() {
+        httpClient.close();
+        server.close();
+    }
+
+    @DataProvider
+    public Object[][] lengths() {
+        return new Object[][] {{0}, {1}, {65_536}, {200_000}, {1_000_000}, {GrizzlyHttpServer.MAX_BODY_BYTES}};
+    }
+
+    // Guards against a request that is never answered: its body arrived in more than two parts.
+    @Test(dataProvider = "lengths")
+    public void aBodyUpToTheLimitIsReadWhole(int length) {
+        ClientResponse response = httpClient
+                .post("http://127.0.0.1:" + port + "/length", Map.of(), new byte[length], TIMEOUT)
+                .join();
+        assertEquals(new String(response.body(), StandardCharsets.UTF_8), Integer.toString(length));
+    }
+
+    @Test
+    public void aBodyBeyondTheLimitIsRejected() {
+        ClientResponse response = httpClient
+                .post(
+                        "http://127.0.0.1:" + port + "/length",
+                        Map.of(),
+                        new byte[GrizzlyHttpServer.MAX_BODY_BYTES + 1],
+                        TIMEOUT)
+                .join();
+        assertEquals(response.status(), 413);
+    }
+
+    @Test(timeOut = 60_000)
+    public void aBodyInChunksIsReadWhole() throws IOException {
+        assertTrue(answerToChunks(20).endsWith("\r\n" + 20 * CHUNK_BYTES));
+    }
+
+    @Test(timeOut = 60_000)
+    public void aBodyInChunksBeyondTheLimitIsRejected() throws IOException {
+        assertTrue(answerToChunks(GrizzlyHttpServer.MAX_BODY_BYTES / CHUNK_BYTES + 1)
+                .startsWith("HTTP/1.1 413"));
+    }
+
+    private String answerToChunks(int chunks) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            OutputStream output = socket.getOutputStream();
+            output.write("POST /length HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    .getBytes(StandardCharsets.UTF_8));
+            String head = Integer.toHexString(CHUNK_BYTES) + "\r\n";
+            for (int chunk = 0; chunk < chunks; chunk++) {
+                output.write(head.getBytes(StandardCharsets.UTF_8));
+                output.write(new byte[CHUNK_BYTES]);
+                output.write("\r\n".getBytes(StandardCharsets.UTF_8));
+            }
+            output.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            output.flush();
+            byte[] answer = socket.getInputStream().readAllBytes();
+            return new String(answer, StandardCharsets.UTF_8);
+        }
+    }
+}
