Let the start time decide which incarnation of a worker deregisters

A worker may start again under its id. A deregistration of the earlier incarnation that arrived late counted the runs of the present one as lost, and their tasks were started elsewhere while they still ran. Only a deregistration whose start time is that of the present incarnation ends its runs now.

An existing test of the agent names the start time now; what it checks is unchanged.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -290,14 +290,17 @@
     }
 
     /**
-     * Records that a worker deregistered; if it is this agent's worker, its runs are lost and waiting tasks go back.
+     * Records that a worker deregistered; if it is the present incarnation of this agent's worker, its runs are lost and
+     * waiting tasks go back.
      *
-     * @param workerId id of the worker
+     * @param workerId id of the worker, which it keeps when it starts again
+     * @param startedAtMillis when the incarnation that deregistered started, in milliseconds since the epoch
      * @param nowNanos current monotonic time
      * @return number of runs that are lost
      */
-    public int workerDeregistered(String workerId, long nowNanos) {
-        boolean present = worker != null && worker.worker().equals(workerId);
+    public int workerDeregistered(String workerId, long startedAtMillis, long nowNanos) {
+        boolean present =
+                worker != null && worker.worker().equals(workerId) && worker.startedAtMillis() == startedAtMillis;
         return present ? workerExited(nowNanos) : 0;
     }
 
--- a/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
+++ b/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import org.gypsumflow.http.GrizzlyHttpServer;
 import org.gypsumflow.http.GrizzlyHttpServer.ServerResponse;
 import org.gypsumflow.model.AvailabilityZone;
@@ -26,17 +27,19 @@
     /**
      * Registers the handlers of the worker's messages.
      *
-     * <p>A report that cannot be parsed is logged and acknowledged like any other.
+     * <p>A message that cannot be parsed is logged and acknowledged like any other. So is a deregistration that does not
+     * tell when the worker started, since it could be that of an earlier incarnation of the same id.
      *
      * @param server server to register with
      * @param workerReported receives each report
-     * @param workerDeregistered receives the id of a worker that deregisters itself
+     * @param workerDeregistered receives the id of a worker that deregisters itself, and when it started, in milliseconds
+     *     since the epoch
      * @param events receives numbered events
      */
     public static void register(
             GrizzlyHttpServer server,
             Consumer<WorkerReport> workerReported,
-            Consumer<String> workerDeregistered,
+            ObjLongConsumer<String> workerDeregistered,
             EventLog events) {
         server.addHandler("POST", "/Instances.Heartbeat", request -> {
             try {
@@ -50,7 +53,16 @@
             return acknowledged();
         });
         server.addHandler("POST", "/Instances.Deregister", request -> {
-            workerDeregistered.accept(request.path());
+            try {
+                long startedAtMillis =
+                        Json.requiredInteger(Json.parseObject(request.body()), "born", 0, Json.MAX_EPOCH_MILLIS);
+                workerDeregistered.accept(request.path(), startedAtMillis);
+            } catch (ValidationException unreadable) {
+                events.write(
+                        Event.MESSAGE_UNREADABLE,
+                        "the deregistration of worker " + shortId(request.path()),
+                        unreadable.getMessage());
+            }
             return acknowledged();
         });
     }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -162,11 +162,11 @@
      * Records that a worker has deregistered; the tasks that ran there count as lost.
      *
      * @param worker id of the worker; ignored unless it is the present one
+     * @param startedAtMillis when the incarnation that deregistered started, in milliseconds since the epoch; ignored
+     *     unless it is the present one
      */
-    public void workerLeft(String worker) {
-        executor.execute(() -> {
-            workerSession.workerDeregistered(worker);
-        });
+    public void workerLeft(String worker, long startedAtMillis) {
+        executor.execute(() -> workerSession.workerDeregistered(worker, startedAtMillis));
     }
 
     /** Applies the latest closed zones; while its own zone is closed the agent accepts no new tasks. */
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -111,9 +111,9 @@
         executeActions();
     }
 
-    /** Records that a worker deregistered; its runs are lost if it is the present worker. */
-    void workerDeregistered(String worker) {
-        logLostRuns(scheduler.workerDeregistered(worker, time.nanoTime()), "the worker deregistered");
+    /** Records that a worker deregistered; its runs are lost if it is the present incarnation of the worker. */
+    void workerDeregistered(String worker, long startedAtMillis) {
+        logLostRuns(scheduler.workerDeregistered(worker, startedAtMillis, time.nanoTime()), "the worker deregistered");
         executeActions();
     }
 
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -151,7 +151,7 @@
 
     @Test
     public void entriesImmediatelyReceiveTheStatusOfANewWorker() {
-        agent.workerLeft("worker");
+        agent.workerLeft("worker", STARTED_AT_MILLIS);
         entry.sent().clear();
         agent.workerReported(new WorkerReport(
                 "worker",
