Skip listed tasks of another kind instead of rejecting the whole listing

A row whose task isn't one of a best-effort job, or that is no row, made every renewal of the lease count as unanswered, although the worker had prolonged the lease: from then on the agent gave the worker nothing, and after the time of a lease it counted all runs as lost, while they went on. Such a row is logged (GF613, each time it's listed) and skipped now; this agent can't have started it. A row of an own task with a number out of range still makes the listing invalid, since skipping it would count its run as lost.

--- a/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
@@ -21,7 +21,7 @@
     BestEffortAgentDaemon(BestEffortSettings settings) {
         super(settings, settings.reportsAddress());
         HttpWorkerClient worker = HttpWorkerClient.create(
-                HttpClient.createOnTransportOf(httpServer(), WORKER_CONNECTIONS), settings.workerAddress());
+                HttpClient.createOnTransportOf(httpServer(), WORKER_CONNECTIONS), settings.workerAddress(), events());
         this.agent = BestEffortAgent.create(trafficExecutor(), TimeSource.system(), worker, routingState(), events());
         WorkerReportResource.register(httpServer(), agent::workerReported, agent::workerLeft, events());
     }
--- a/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
+++ b/src/main/java/org/gypsumflow/platform/HttpWorkerClient.java
@@ -6,13 +6,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.http.HttpClient;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Check;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
+import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.model.WorkerProtocol.FinishedTask;
 import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
 import org.gypsumflow.model.WorkerProtocol.RunningTask;
@@ -33,10 +37,12 @@
 
     private final HttpClient httpClient;
     private final String baseUrl;
+    private final EventLog events;
 
-    private HttpWorkerClient(HttpClient httpClient, String address) {
+    private HttpWorkerClient(HttpClient httpClient, String address, EventLog events) {
         this.httpClient = httpClient;
         this.baseUrl = "http://" + address;
+        this.events = events;
     }
 
     /**
@@ -44,10 +50,11 @@
      *
      * @param httpClient sends the requests; it is not closed by this client
      * @param address address of the worker's HTTP server, as {@code host:port}
+     * @param events receives an event for each listed task that this system cannot have started
      * @return the client
      */
-    public static HttpWorkerClient create(HttpClient httpClient, String address) {
-        return new HttpWorkerClient(httpClient, address);
+    public static HttpWorkerClient create(HttpClient httpClient, String address, EventLog events) {
+        return new HttpWorkerClient(httpClient, address, events);
     }
 
     @Override
@@ -86,7 +93,7 @@
         }
         return post("/hold", body, RESPONSE_TIMEOUT.plus(renewal.maxWait())).thenApply(response -> {
             requireOk(response, "lease renewal");
-            return parseTaskListing(Json.parseObject(response.body()));
+            return parseTaskListing(Json.parseObject(response.body()), events);
         });
     }
 
@@ -120,23 +127,24 @@
      *
      * <p>A row of {@code running} is task, run number, a text that is not used here, and percent done; a row of
      * {@code finished} is sequence number, task, run number, and outcome. An outcome other than done or failed counts
-     * as lost.
+     * as lost. A row whose task is not one of a best-effort job is logged and skipped.
      *
      * @throws org.gypsumflow.model.ValidationException if the clock is missing or a row is invalid
      */
-    static TaskListing parseTaskListing(JsonNode body) {
+    static TaskListing parseTaskListing(JsonNode body, EventLog events) {
         List<RunningTask> running = new ArrayList<>();
         for (JsonNode row : Json.arrayOrEmpty(body, "running")) {
-            running.add(new RunningTask(
-                    BestEffortTaskIdFormat.parse(row.path(0).asText()), parseRun(row.path(1)), percent(row.path(3))));
+            parseTask(row.path(0), events)
+                    .ifPresent(task -> running.add(new RunningTask(task, parseRun(row.path(1)), percent(row.path(3)))));
         }
         List<FinishedTask> finished = new ArrayList<>();
         for (JsonNode row : Json.arrayOrEmpty(body, "finished")) {
-            finished.add(new FinishedTask(
-                    Json.integer(row.path(0), "number of an end", 0, Long.MAX_VALUE),
-                    BestEffortTaskIdFormat.parse(row.path(1).asText()),
-                    parseRun(row.path(2)),
-                    parseOutcome(row.path(3).asText())));
+            parseTask(row.path(1), events)
+                    .ifPresent(task -> finished.add(new FinishedTask(
+                            Json.integer(row.path(0), "number of an end", 0, Long.MAX_VALUE),
+                            task,
+                            parseRun(row.path(2)),
+                            parseOutcome(row.path(3).asText()))));
         }
         return new TaskListing(
                 Json.integerOrZero(body, "born", 0, Json.MAX_EPOCH_MILLIS),
@@ -145,6 +153,15 @@
                 finished);
     }
 
+    private static Optional<BestEffortTaskId> parseTask(JsonNode value, EventLog events) {
+        try {
+            return Optional.of(BestEffortTaskIdFormat.parse(value.asText()));
+        } catch (ValidationException unreadable) {
+            events.write(Event.MESSAGE_UNREADABLE, "a task that the worker lists", unreadable.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static RunNumber parseRun(JsonNode value) {
         return RunNumber.of((int) Json.integer(value, "run", 1, Integer.MAX_VALUE));
     }
