--- a/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
+++ b/src/test/java/org/gypsumflow/platform/HttpWorkerClientTest.java
@@ -14,6 +14,8 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -22,6 +24,8 @@
 import org.gypsumflow.http.HttpClient;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
@@ -32,12 +36,21 @@
 import org.gypsumflow.model.WorkerProtocol.StartStatus;
 import org.gypsumflow.model.WorkerProtocol.TaskListing;
 import org.gypsumflow.traffic.WorkerClient;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public final class HttpWorkerClientTest {
     private static final BestEffortTaskId TASK = BestEffortTaskId.of(JobId.of("5c0e7a21d94b36f8"), 9);
 
+    private final List<Event> logged = new ArrayList<>();
+    private final EventLog events = (event, details) -> logged.add(event);
+
+    @BeforeMethod
+    public void forgetEvents() {
+        logged.clear();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
@@ -67,10 +80,11 @@
 
     @Test
     public void aTaskListingIsParsedWithAllFields() {
-        TaskListing listing =
-                HttpWorkerClient.parseTaskListing(Json.parseObject(bytes("{\"clockMs\":482113,\"born\":7,\"running\":["
+        TaskListing listing = HttpWorkerClient.parseTaskListing(
+                Json.parseObject(bytes("{\"clockMs\":482113,\"born\":7,\"running\":["
                         + "[\"5c0e7a21d94b36f8.0.0.9\",2,\"\",41,3]],\"finished\":[[58,\"5c0e7a21d94b36f8.0.0.9\",1,"
-                        + "\"stopped\",\"\"],[59,\"5c0e7a21d94b36f8.0.0.9\",3,\"done\",\"\"]]}")));
+                        + "\"stopped\",\"\"],[59,\"5c0e7a21d94b36f8.0.0.9\",3,\"done\",\"\"]]}")),
+                events);
         assertEquals(listing.workerStartedAtMillis(), 7);
         assertEquals(listing.running(), List.of(new RunningTask(TASK, RunNumber.of(2), 41)));
         assertEquals(
@@ -80,11 +94,70 @@
                         new FinishedTask(59, TASK, RunNumber.of(3), RunOutcome.DONE)));
     }
 
+    @DataProvider
+    public Object[][] oddListings() {
+        String listing = "{\"clockMs\":1,\"born\":7,\"running\":[%s],\"finished\":[%s]}";
+        String task = "\"5c0e7a21d94b36f8.0.0.9\"";
+        return new Object[][] {
+            {String.format(listing, "[" + task + ",4294967298,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",18446744073709551618,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",0,\"\",41,3]", "")},
+            {String.format(listing, "[" + task + ",\"2\",\"\",41,3]", "")},
+            {String.format(listing, "[" + task + "]", "")},
+            {String.format(listing, "", "[9223372036854775808," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[18446744073709551674," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[\"58\"," + task + ",1,\"done\",\"\"]")},
+            {String.format(listing, "", "[58," + task + ",4294967297,\"done\",\"\"]")},
+            {listing.replace("\"clockMs\":1", "\"clockMs\":18446744073709551617")},
+            {listing.replace("\"born\":7", "\"born\":18446744073709551623")},
+            {"{\"clockMs\":1,\"running\":7}"},
+            {"{\"clockMs\":1,\"finished\":{\"a\":7}}"},
+            {String.format(listing, "[".repeat(100_000) + "]".repeat(100_000), "")},
+        };
+    }
+
+    // Guards against a run or an end that is taken for another one: a number of the listing was cut off.
+    @Test(dataProvider = "oddListings")
+    public void anOddTaskListingIsRejected(String body) {
+        assertThrows(
+                ValidationException.class,
+                () -> HttpWorkerClient.parseTaskListing(Json.parseObject(bytes(body)), events));
+    }
+
+    @DataProvider
+    public Object[][] oddProgress() {
+        return new Object[][] {{"4294967296", 100}, {"1e999", 100}, {"-1", 0}, {"\"\"", 0}, {"[]", 0}, {"41.5", 41}};
+    }
+
+    @Test(dataProvider = "oddProgress")
+    public void aProgressIsReadAsAShareOfAHundred(String progress, int percent) {
+        TaskListing listing = HttpWorkerClient.parseTaskListing(
+                Json.parseObject(
+                        bytes("{\"clockMs\":1,\"running\":[[\"5c0e7a21d94b36f8.0.0.9\",2,\"\"," + progress + "]]}")),
+                events);
+        assertEquals(listing.running(), List.of(new RunningTask(TASK, RunNumber.of(2), percent)));
+    }
+
+    // Guards against two runs of one task: a row of a task that this system cannot have started made every renewal of
+    // the
+    // lease fail, and once the lease was taken for expired all runs counted as lost, while the worker went on.
+    @Test
+    public void aRowOfATaskOfAnotherKindIsSkippedAndTheOthersHold() {
+        TaskListing listing = HttpWorkerClient.parseTaskListing(
+                Json.parseObject(bytes("{\"clockMs\":1,\"running\":["
+                        + "[\"5c0e7a21d94b36f8.0.1.17\",2,\"\",41],[\"5c0e7a21d94b36f8.0.0.9\",2,\"\",41],7],\"finished\":["
+                        + "[58,\"?\",1,\"done\",\"\"],[59,\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"]]}")),
+                events);
+        assertEquals(listing.running(), List.of(new RunningTask(TASK, RunNumber.of(2), 41)));
+        assertEquals(listing.finished(), List.of(new FinishedTask(59, TASK, RunNumber.of(1), RunOutcome.DONE)));
+        assertEquals(logged, Collections.nCopies(3, Event.MESSAGE_UNREADABLE));
+    }
+
     @Test
     public void aTaskListingWithoutAClockIsRejected() {
         assertThrows(
                 ValidationException.class,
-                () -> HttpWorkerClient.parseTaskListing(Json.parseObject(bytes("{\"running\":[]}"))));
+                () -> HttpWorkerClient.parseTaskListing(Json.parseObject(bytes("{\"running\":[]}")), events));
     }
 
     @DataProvider
@@ -99,7 +172,7 @@
 
     private static Throwable failureOf(Function<WorkerClient, CompletableFuture<?>> call, String address) {
         try (HttpClient httpClient = HttpClient.create()) {
-            CompletableFuture<?> response = call.apply(HttpWorkerClient.create(httpClient, address));
+            CompletableFuture<?> response = call.apply(HttpWorkerClient.create(httpClient, address, EventLog.none()));
             return expectThrows(CompletionException.class, response::join).getCause();
         }
     }
