--- a/src/test/java/org/gypsumflow/control/MemberDiscoveryTest.java
+++ b/src/test/java/org/gypsumflow/control/MemberDiscoveryTest.java
@@ -28,6 +28,9 @@
         @Override
         public void jobMessageReceived(MemberName sender, BestEffortMessage message) {}
 
+        @Override
+        public void contactConfirmed(MemberName member, long sentAtNanos) {}
+
         @Override
         public void routingStateReceived(MemberName sender, ShareRoutingState state) {}
     }
--- a/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
@@ -135,7 +135,7 @@
             if (!leaving.isDead()) {
                 trace.accept("worker of " + agentName + " deregisters");
                 leaving.die("left");
-                deliver(() -> agent.workerLeft(leaving.id));
+                deliver(() -> agent.workerLeft(leaving.id, leaving.bornMillis));
                 startAgainAfter(downTime, false);
             }
         });
@@ -220,7 +220,7 @@
         clock.schedule(timeout, () -> process.run(() -> result.completeExceptionally(new TimeoutException())));
         CompletableFuture<T> response = new CompletableFuture<>();
         if (fate != Fate.CLOSED_BEFORE_EXECUTION && fate != Fate.NEVER_EXECUTED) {
-            Duration delay = fate == Fate.EXECUTED_LATE ? Duration.ofMillis(2000 + random.nextInt(10_000)) : latency();
+            Duration delay = fate == Fate.EXECUTED_LATE ? Duration.ofMillis(2000L + random.nextInt(10_000)) : latency();
             clock.schedule(delay, () -> target.run(() -> execution.accept(target, response)));
         }
         if (fate == Fate.CLOSED_BEFORE_EXECUTION || fate == Fate.CLOSED_AFTER_EXECUTION) {
