Inform a peer that connects of the jobs whose runs have not ended

Entries announce jobs once, when they accept them.

Now an entry that gets a connection to another one sends it the jobs that are active or whose runs have not ended. Until it is connected a restarted entry still knows nothing of them (docs/PLATFORM.md).

--- a/src/main/java/org/gypsumflow/command/EndingJobs.java
+++ b/src/main/java/org/gypsumflow/command/EndingJobs.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.JobId;
@@ -71,6 +72,11 @@
         return jobs.containsKey(job);
     }
 
+    /** Returns the jobs of which a run may not have ended yet. */
+    Set<JobId> ids() {
+        return Set.copyOf(jobs.keySet());
+    }
+
     /** Runs an action once all runs of a job have ended: immediately if none is left. */
     void whenEnded(JobId job, Runnable action) {
         EndingJob ending = jobs.get(job);
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.gypsumflow.command.JobPlacementPolicy.Placement;
 import org.gypsumflow.command.JobPlacementPolicy.PlacementRequest;
 import org.gypsumflow.command.WorkerCapacityTracker.Candidate;
@@ -191,6 +192,17 @@
         return jobs.size();
     }
 
+    /**
+     * Returns the jobs whose tasks may be running because of this entry.
+     *
+     * @return ids of the active jobs and of those with an outcome whose runs may not have ended
+     */
+    public List<JobId> unendedJobs() {
+        return Stream.concat(jobs.keySet().stream(), endingJobs.ids().stream())
+                .distinct()
+                .toList();
+    }
+
     /**
      * Applies the results and the worker status that an agent reported.
      *
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -237,6 +237,14 @@
                 .thenRun(() -> executor.execute(() -> dispatcher.removeWaiter(job, submission.callback())));
     }
 
+    /** Informs a peer that may have restarted, and so knows no jobs of others. */
+    private void announceUnendedJobs(Connection peer) {
+        List<JobId> jobs = dispatcher.unendedJobs();
+        if (!jobs.isEmpty()) {
+            peer.send(new ShareJobs(jobs));
+        }
+    }
+
     private void announceAcceptedJobs() {
         if (unannouncedJobs.isEmpty()) {
             return;
@@ -298,6 +306,7 @@
                 connectedAgentCount = agents.size();
             } else {
                 peers.put(member.name(), connection);
+                announceUnendedJobs(connection);
                 handovers.peerConnected(member.name());
             }
         });
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -179,6 +179,17 @@
         assertEquals(outcome.thenApply(BestEffortOutcome::verdict).getNow(Verdict.COMPLETED), Verdict.MAY_HAVE_RUN);
     }
 
+    // Guards against two runs of one task: an entry that had restarted did not know which jobs its peers were running.
+    @Test
+    public void aPeerThatConnectsIsInformedOfTheJobsWhoseRunsHaveNotEnded() {
+        submit(JOB);
+        executor.advance(200);
+        peer.sent().clear();
+        disconnect(PEER, Member.Role.ENTRY);
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        assertEquals(sentTo(peer, ShareJobs.class), List.of(new ShareJobs(List.of(JOB))));
+    }
+
     // Guards against a second start elsewhere while the stops of the first runs are unanswered or late.
     @Test
     public void anEntryConfirmsThatItAbandonedAJobOnlyAfterEveryRunHasEnded() {
@@ -396,7 +407,7 @@
         executor.advanceClockOnly(5000);
         entry.memberDisconnected(member(PEER, Member.Role.ENTRY), lastMessageNanos);
         submit(JOB);
-        executor.advance(1500);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 850);
         assertTrue(assignments().isEmpty());
         executor.advance(200);
         assertEquals(assignments().size(), 1);
