--- a/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
+++ b/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
@@ -87,6 +87,7 @@
                 (event, details) -> {});
         agent.memberConnected(
                 new Member(ENTRY, Member.Role.ENTRY, AvailabilityZone.of("sofia"), "127.0.0.1", 1), recording());
+        agent.contactConfirmed(ENTRY, executor.timeSource().nanoTime());
         server = GrizzlyHttpServer.create("127.0.0.1", 0, 1, (event, details) -> {});
         WorkerReportResource.register(
                 server, agent::workerReported, agent::workerLeft, (event, details) -> written.add(event));
