--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -3,13 +3,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.gypsumflow.command.EndingJobs.UnendedRun;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortOutcome;
+import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.RunNumber;
 
@@ -33,11 +38,15 @@
 
     private static final class Task {
         private AssignmentState state = AssignmentState.WAITING;
-        private RunNumber runNumber = RunNumber.FIRST;
+        private RunNumber runNumber;
         private MemberName agent;
         private int failureCount;
         private Duration runDuration;
         private long reassignAtNanos;
+
+        private Task(RunNumber firstRunNumber) {
+            this.runNumber = firstRunNumber;
+        }
     }
 
     private final BestEffortJob job;
@@ -49,12 +58,19 @@
     private boolean hasRun;
     private int assignmentCount;
 
-    ActiveJob(BestEffortJob job, long acceptedNanos, long deadlineNanos) {
+    /**
+     * Creates a job of which nothing has started in this life.
+     *
+     * @param firstRunNumber number of the first run of each task, higher than those of its runs in former lives
+     * @param mayHaveRun true if parts of the job may be running from a former life
+     */
+    ActiveJob(BestEffortJob job, long acceptedNanos, long deadlineNanos, RunNumber firstRunNumber, boolean mayHaveRun) {
         this.job = job;
         this.acceptedNanos = acceptedNanos;
         this.deadlineNanos = deadlineNanos;
         this.tasks = new Task[job.taskCount()];
-        Arrays.setAll(tasks, index -> new Task());
+        this.hasRun = mayHaveRun;
+        Arrays.setAll(tasks, index -> new Task(firstRunNumber));
     }
 
     BestEffortJob job() {
@@ -225,6 +241,38 @@
         return hasRun || !tasksByAgent().isEmpty();
     }
 
+    /**
+     * Returns the runs that may not have ended, each with the monotonic time in nanoseconds from which it can no longer
+     * be running, or empty while its agent is connected.
+     */
+    Map<UnendedRun, OptionalLong> unendedRuns() {
+        Map<UnendedRun, OptionalLong> unended = new HashMap<>();
+        tasksByAgent()
+                .forEach((agent, indexes) -> indexes.forEach(index -> {
+                    Task task = tasks[index];
+                    unended.put(
+                            new UnendedRun(BestEffortTaskId.of(job.id(), index), task.runNumber, agent),
+                            task.state == AssignmentState.UNKNOWN
+                                    ? OptionalLong.of(task.reassignAtNanos)
+                                    : OptionalLong.empty());
+                }));
+        return unended;
+    }
+
+    /** Returns whether every assignment of a task has ended with its success, so that no result can come late. */
+    boolean hasOnlySuccessfulRuns() {
+        return assignmentCount == doneCount;
+    }
+
+    /** Returns a run number that is higher than those of all runs of the tasks. */
+    RunNumber nextRunNumber() {
+        return Arrays.stream(tasks)
+                .map(task -> task.runNumber)
+                .max(Comparator.naturalOrder())
+                .orElse(RunNumber.FIRST)
+                .next();
+    }
+
     private void requeue(int index) {
         tasks[index].state = AssignmentState.WAITING;
         tasks[index].runNumber = tasks[index].runNumber.next();
--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -49,6 +49,8 @@
         private long startedNanos;
         private int percentDone;
         private long lastProgressNanos;
+        private boolean ownerLost;
+        private long ownerLostNanos;
 
         private TrackedAssignment(MemberName owner, TaskAssignment assignment, long arrivedNanos) {
             this.owner = owner;
@@ -132,6 +134,7 @@
     private Set<AvailabilityZone> closedZones = Set.of();
     private boolean draining;
     private boolean reachable;
+    private boolean startsAllowed = true;
     private Actions actions = noActions();
 
     private AgentScheduler() {}
@@ -225,6 +228,20 @@
         }
     }
 
+    /**
+     * Sets whether runs may start now; while they may not, the waiting tasks stay and no others are accepted.
+     *
+     * @param allowed false while the lease of the worker must not be extended
+     * @param nowNanos current monotonic time
+     */
+    public void setStartsAllowed(boolean allowed, long nowNanos) {
+        if (startsAllowed == allowed) {
+            return;
+        }
+        startsAllowed = allowed;
+        startWaitingThatFit(nowNanos);
+    }
+
     /**
      * Sets the closed zones; if the worker's zone is one, its waiting tasks go back to their entries.
      *
@@ -290,14 +307,17 @@
     }
 
     /**
-     * Records that a worker deregistered; if it is this agent's worker, its runs are lost and waiting tasks go back.
+     * Records that a worker deregistered; if it is the present incarnation of this agent's worker, its runs are lost and
+     * waiting tasks go back.
      *
-     * @param workerId id of the worker
+     * @param workerId id of the worker, which it keeps when it starts again
+     * @param startedAtMillis when the incarnation that deregistered started, in milliseconds since the epoch
      * @param nowNanos current monotonic time
      * @return number of runs that are lost
      */
-    public int workerDeregistered(String workerId, long nowNanos) {
-        boolean present = worker != null && worker.worker().equals(workerId);
+    public int workerDeregistered(String workerId, long startedAtMillis, long nowNanos) {
+        boolean present =
+                worker != null && worker.worker().equals(workerId) && worker.startedAtMillis() == startedAtMillis;
         return present ? workerExited(nowNanos) : 0;
     }
 
@@ -305,18 +325,39 @@
      * Stops all tasks of an entry that is disconnected: it may assign them elsewhere.
      *
      * @param owner entry that assigned the tasks
+     * @param lostNanos monotonic time at which its loss was due to be noticed, not after the current time; the lease of
+     *     a run that does not stop is counted from it
      * @param nowNanos current monotonic time
      * @return number of its assignments, waiting ones included
      */
-    public int stopAllOf(MemberName owner, long nowNanos) {
+    public int stopAllOf(MemberName owner, long lostNanos, long nowNanos) {
         List<TrackedAssignment> owned = assignments.values().stream()
                 .filter(tracked -> tracked.owner.equals(owner))
                 .toList();
-        owned.forEach(this::stop);
+        owned.forEach(tracked -> {
+            if (!tracked.ownerLost) {
+                tracked.ownerLost = true;
+                tracked.ownerLostNanos = lostNanos;
+            }
+            stop(tracked);
+        });
         startWaitingThatFit(nowNanos);
         return owned.size();
     }
 
+    /**
+     * Returns whether a run goes on too long after its entry was lost; that entry may start the task elsewhere once the
+     * lease of the run has expired.
+     *
+     * @param nowNanos current monotonic time
+     * @return true if a stop has not taken effect within {@link BestEffortTimings#STOP_CONFIRMATION_TIMEOUT}
+     */
+    public boolean isStopOverdue(long nowNanos) {
+        return assignments.values().stream()
+                .anyMatch(tracked -> tracked.ownerLost
+                        && nowNanos - tracked.ownerLostNanos > BestEffortTimings.STOP_CONFIRMATION_TIMEOUT.toNanos());
+    }
+
     /**
      * Returns the waiting tasks, since this process was paused and the entries may have assigned them elsewhere.
      *
@@ -520,10 +561,16 @@
     /**
      * Returns whether the worker gets new tasks.
      *
-     * @return true if the worker responds, neither it nor this process is draining, and its zone is not closed
+     * @return true if the worker responds and may start runs, neither it nor this process is draining, and its zone is
+     *     not closed
      */
     public boolean acceptsTasks() {
-        return worker != null && reachable && !draining && !worker.draining() && !closedZones.contains(worker.zone());
+        return worker != null
+                && reachable
+                && startsAllowed
+                && !draining
+                && !worker.draining()
+                && !closedZones.contains(worker.zone());
     }
 
     /**
--- a/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
+++ b/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import org.gypsumflow.http.GrizzlyHttpServer;
 import org.gypsumflow.http.GrizzlyHttpServer.ServerResponse;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
-import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.model.WorkerReport;
@@ -19,6 +19,8 @@
 public final class WorkerReportResource {
     private static final int OK = 200;
 
+    private static final long CLOCK_NOT_REPORTED = -1;
+
     /** Place of the rack in the list of labels. */
     private static final int RACK_LABEL = 1;
 
@@ -27,28 +29,42 @@
     /**
      * Registers the handlers of the worker's messages.
      *
-     * <p>A report that cannot be parsed is logged and acknowledged like any other.
+     * <p>A message that cannot be parsed is logged and acknowledged like any other. So is a deregistration that does not
+     * tell when the worker started, since it could be that of an earlier incarnation of the same id.
      *
      * @param server server to register with
      * @param workerReported receives each report
-     * @param workerDeregistered receives the id of a worker that deregisters itself
+     * @param workerDeregistered receives the id of a worker that deregisters itself, and when it started, in milliseconds
+     *     since the epoch
      * @param events receives numbered events
      */
     public static void register(
             GrizzlyHttpServer server,
             Consumer<WorkerReport> workerReported,
-            Consumer<String> workerDeregistered,
+            ObjLongConsumer<String> workerDeregistered,
             EventLog events) {
         server.addHandler("POST", "/Instances.Heartbeat", request -> {
             try {
                 workerReported.accept(parse(request.path(), Json.parseObject(request.body())));
             } catch (ValidationException unreadable) {
-                events.write(Event.MESSAGE_UNREADABLE, "a report of worker " + request.path(), unreadable.getMessage());
+                events.write(
+                        Event.MESSAGE_UNREADABLE,
+                        "a report of worker " + shortId(request.path()),
+                        unreadable.getMessage());
             }
             return acknowledged();
         });
         server.addHandler("POST", "/Instances.Deregister", request -> {
-            workerDeregistered.accept(request.path());
+            try {
+                long startedAtMillis =
+                        Json.requiredInteger(Json.parseObject(request.body()), "born", 0, Json.MAX_EPOCH_MILLIS);
+                workerDeregistered.accept(request.path(), startedAtMillis);
+            } catch (ValidationException unreadable) {
+                events.write(
+                        Event.MESSAGE_UNREADABLE,
+                        "the deregistration of worker " + shortId(request.path()),
+                        unreadable.getMessage());
+            }
             return acknowledged();
         });
     }
@@ -69,18 +85,22 @@
         JsonNode labels = report.path("labels");
         return new WorkerReport(
                 worker,
-                Json.integerOrZero(report, "born"),
+                Json.integerOrZero(report, "born", 0, Json.MAX_EPOCH_MILLIS),
                 ServiceName.of(Json.requiredString(report, "service")),
                 AvailabilityZone.of(Json.requiredString(report, "zone")),
-                Resources.of(
-                        (int) Json.requiredInteger(capacity, "cpu"),
-                        (int) Json.requiredInteger(capacity, "memMb"),
-                        (int) Json.integerOrZero(capacity, "gpu")),
+                Json.resources(capacity, true),
                 labels.isArray() && labels.size() > RACK_LABEL
                         ? labels.get(RACK_LABEL).asText()
                         : "",
                 state.equals("draining"),
-                Json.requiredInteger(report, "sequence"));
+                Json.requiredInteger(report, "sequence", 0, Long.MAX_VALUE),
+                report.has("clockMs")
+                        ? Json.requiredInteger(report, "clockMs", 0, Long.MAX_VALUE)
+                        : CLOCK_NOT_REPORTED);
+    }
+
+    private static String shortId(String worker) {
+        return worker.length() <= Check.MAX_NAME_LENGTH ? worker : worker.substring(0, Check.MAX_NAME_LENGTH) + "...";
     }
 
     private static CompletableFuture<ServerResponse> acknowledged() {
