Count the runs at a former incarnation of the worker as lost only when the new one does not list them

The agent now stops its runs at the new incarnation and counts them as lost when a listing that it requested after that does not hold them. The time of the last request with a lease goes over to the new incarnation, whose clock starts anew: its lease may be as long as the platform allows, so that runs count as ended 1,021 ms and the stop, 50 ms, after the last request.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -151,6 +151,9 @@
     /**
      * Records a report of the worker; runs of an earlier incarnation are lost.
      *
+     * <p>A new incarnation may have accepted a start before its first report arrived. The runs are therefore stopped
+     * there, and lost once it does not list them.
+     *
      * <p>A report of an earlier incarnation, or older than the last one of the same incarnation, is ignored. A draining
      * worker keeps its runs, while waiting tasks go back to their entries.
      *
@@ -171,7 +174,7 @@
         worker = report;
         reachable = true;
         if (!sameIncarnation) {
-            markRunsLost(nowNanos);
+            stopAllRuns();
         }
         if (report.draining()) {
             returnWaiting(tracked -> true, nowNanos);
@@ -647,6 +650,18 @@
         startWaitingThatFit(nowNanos);
     }
 
+    /** Stops all runs at the present incarnation of the worker; those that are being stopped are stopped again. */
+    private void stopAllRuns() {
+        for (TrackedAssignment tracked : assignments.values()) {
+            if (tracked.status == Status.STOPPING) {
+                tracked.confirmed = false;
+                actions.runsToStop().add(new TaskRun(tracked.assignment.task(), tracked.runNumber, ""));
+            } else if (tracked.occupiesWorker()) {
+                stop(tracked);
+            }
+        }
+    }
+
     private int markRunsLost(long nowNanos) {
         int lostRuns = 0;
         for (TrackedAssignment tracked : List.copyOf(assignments.values())) {
--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -47,6 +47,8 @@
     public static final Duration CONFIRMED_CONTACT_LIMIT = Duration.ofMillis(700);
     /** How long a worker runs tasks without a renewal; below the platform's limit of one second for leases. */
     public static final Duration LEASE_DURATION = Duration.ofMillis(900);
+    /** The longest lease that a worker grants; the platform shortens others to it. */
+    public static final Duration MAX_LEASE_DURATION = Duration.ofSeconds(1);
     /** Maximum time that a worker needs to stop a task, guaranteed by the platform. */
     public static final Duration MAX_STOP_TIME = Duration.ofMillis(50);
     /**
--- a/src/main/java/org/gypsumflow/command/WorkerLease.java
+++ b/src/main/java/org/gypsumflow/command/WorkerLease.java
@@ -21,9 +21,13 @@
      */
     private static final Duration MAX_READING_AGE = Duration.ofSeconds(10);
 
-    /** Time after the last request at which all runs have ended: the lease by the slowest clock, then the stop. */
+    /**
+     * Time after the last request at which all runs have ended: the longest lease that a worker grants by the slowest
+     * clock, then the stop. The lease is longer than requested if the worker has restarted, so that its clock started
+     * anew.
+     */
     public static final Duration MAX_RUN_TIME = Duration.ofMillis(
-                    (long) Math.ceil(BestEffortTimings.LEASE_DURATION.toMillis() / (1 - MAX_CLOCK_DRIFT)))
+                    (long) Math.ceil(BestEffortTimings.MAX_LEASE_DURATION.toMillis() / (1 - MAX_CLOCK_DRIFT)))
             .plus(BestEffortTimings.MAX_STOP_TIME);
 
     private static final double NANOS_PER_MILLI = 1e6;
@@ -45,6 +49,18 @@
         return new WorkerLease();
     }
 
+    /**
+     * Returns the lease at the next incarnation of the worker, which may have received the last requests already.
+     *
+     * @return the lease, without a reading of the clock
+     */
+    public WorkerLease atNextIncarnation() {
+        WorkerLease next = new WorkerLease();
+        next.requested = requested;
+        next.lastRequestNanos = lastRequestNanos;
+        return next;
+    }
+
     /**
      * Applies a reading of the worker's clock that has just arrived; one that was delayed on its way is ignored.
      *
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -88,12 +88,10 @@
 
     /** Applies a worker's report; a new incarnation of the worker is asked for its task listing immediately. */
     void workerReported(WorkerReport report) {
-        int runsBefore = scheduler.activeRunCount();
         boolean newIncarnation = scheduler.workerReported(report, time.nanoTime());
         if (newIncarnation) {
-            logLostRuns(runsBefore, "the worker was replaced by another incarnation");
             workerStartedAtMillis = report.startedAtMillis();
-            lease = WorkerLease.none();
+            lease = lease.atNextIncarnation();
             untrackedRunsListed = false;
             acknowledgedThrough = 0;
             lastResponseNanos = time.nanoTime();
