--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -125,6 +125,14 @@
         assertPromisesHold(List.of(4510L), CALLS_THAT_FAIL, ENTRIES_THAT_STOP, WORKERS_THAT_CRASH);
     }
 
+    // Guards against two runs of one task: an entry took over a job at once that its owner had ended just before, when
+    // the
+    // owner noticed that the caller had disconnected, while the owner's stops were still under way.
+    @Test
+    public void aJobIsNotTakenOverAtOnceWhenItsOwnerHasJustEndedIt() {
+        assertPromisesHold(List.of(4071L), EnumSet.complementOf(EnumSet.of(Fault.CALLER_DISCONNECTS_UNNOTICED)));
+    }
+
     // Guards against two runs of one task: an entry that resumed after a pause started a job that had been sent to it
     // during the pause, although its caller had sent the job to another entry since.
     @Test
