--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -52,6 +52,7 @@
 
     private final Map<JobId, ActiveJob> jobs = new HashMap<>();
     private final Map<JobId, ActiveJob> waitingJobs = new LinkedHashMap<>();
+    private final EndingJobs endingJobs = new EndingJobs();
     private final Map<ServiceName, Long> workersLastSeenNanos = new HashMap<>();
     private long lastRetryNanos;
     private long latestNanos;
@@ -96,6 +97,9 @@
     /**
      * Starts a job, or adds a waiter to the active job of that id, which keeps its deadline.
      *
+     * <p>If the job was active before and a run of it may not have ended, it starts after the end of that run; if the
+     * time left does not suffice for that, its outcome is that it may have run.
+     *
      * @param job the job
      * @param nowNanos current monotonic time
      * @param timeLeft time until the caller stops waiting, transit of the response included
@@ -109,9 +113,18 @@
             return;
         }
         long deadlineNanos = nowNanos + timeLeft.minus(RESPONSE_TRANSIT_TIME).toNanos();
-        ActiveJob activeJob = new ActiveJob(job, nowNanos, deadlineNanos);
+        if (endingJobs.isEnding(job.id())) {
+            endingJobs.tick(nowNanos);
+            endingJobs.runDueListeners();
+        }
+        boolean formerRunsEnding = endingJobs.isEnding(job.id());
+        ActiveJob activeJob =
+                new ActiveJob(job, nowNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
+        if (formerRunsEnding) {
+            endingJobs.whenEnded(job.id(), () -> place(activeJob, latestNanos));
+        }
         place(activeJob, nowNanos);
     }
 
@@ -148,6 +161,17 @@
         return finishEarly(id, BestEffortOutcome.mayHaveRun("no caller waits for this job at this entry any more"));
     }
 
+    /**
+     * Runs an action once no run of a job that has an outcome can still be running: immediately if there is none.
+     *
+     * @param id id of the job
+     * @param action what to do then, on the thread of the dispatcher; dropped together with the dispatcher if the proof
+     *     never comes
+     */
+    public void whenEnded(JobId id, Runnable action) {
+        endingJobs.whenEnded(id, action);
+    }
+
     /**
      * Returns whether a job is active at this entry.
      *
@@ -178,9 +202,11 @@
         latestNanos = nowNanos;
         Collection<ActiveJob> affected = new ArrayList<>();
         for (RunResult result : report.results()) {
+            endingJobs.recordResult(agent, result);
             applyResult(agent, result, nowNanos).ifPresent(affected::add);
         }
         capacityTracker.updateWorker(agent, report.workerStatus());
+        endingJobs.runDueListeners();
         affected.stream().distinct().forEach(activeJob -> place(activeJob, nowNanos));
         retryWaitingJobs(nowNanos);
     }
@@ -197,6 +223,7 @@
                 activeJob.markUnknown(index, reassignAtNanos);
             }
         }
+        endingJobs.agentDisconnected(agent, reassignAtNanos);
         capacityTracker.remove(agent);
     }
 
@@ -207,10 +234,14 @@
      */
     public void tick(long nowNanos) {
         latestNanos = nowNanos;
+        endingJobs.tick(nowNanos);
+        endingJobs.runDueListeners();
         retryWaitingJobs(nowNanos);
         for (ActiveJob activeJob : List.copyOf(jobs.values())) {
             if (nowNanos - activeJob.deadlineNanos() >= 0) {
                 abandon(activeJob, "the caller's deadline has passed");
+            } else if (endingJobs.isEnding(activeJob.job().id())) {
+                place(activeJob, nowNanos);
             } else {
                 requeueUnknown(activeJob, nowNanos);
             }
@@ -303,6 +334,12 @@
         }
         BestEffortJob job = activeJob.job();
         boolean mayWait = mayWaitForCapacity(activeJob, nowNanos);
+        if (endingJobs.isEnding(job.id())) {
+            if (!mayWait) {
+                abandon(activeJob, "the time left does not suffice after the end of the job's former runs");
+            }
+            return;
+        }
         if (mayWait && !activeJob.mayHaveRun() && isBehindHigherPriority(activeJob)) {
             waitingJobs.putIfAbsent(job.id(), activeJob);
             return;
@@ -455,6 +492,10 @@
             return;
         }
         waitingJobs.remove(activeJob.job().id());
+        endingJobs.add(activeJob.job().id(), activeJob.unendedRuns());
+        if (!activeJob.hasOnlySuccessfulRuns()) {
+            endingJobs.recordNextRunNumber(activeJob.job().id(), activeJob.nextRunNumber());
+        }
         activeJob.tasksByAgent().forEach((agent, indexes) -> {
             activeJob
                     .tasksAssignedTo(agent)
--- a/src/main/java/org/gypsumflow/http/HttpClient.java
+++ b/src/main/java/org/gypsumflow/http/HttpClient.java
@@ -51,6 +51,9 @@
     /** Time after which a server that has not accepted a connection counts as unreachable. */
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
 
+    /** Message of the operating system for a refused connection; in another language no failure is a refusal. */
+    private static final String REFUSED = "Connection refused";
+
     private static final Attribute<AtomicReference<CompletableFuture<ClientResponse>>> PENDING_RESPONSE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(HttpClient.class.getName());
 
@@ -147,13 +150,30 @@
      * @param headers headers to send
      * @param body content
      * @param timeout how long to wait for the response, including the wait for a connection
-     * @return the response, or a failure; only a {@link ConnectException} proves that the server received nothing
+     * @return the response, or a failure; only a {@link ConnectException} proves that the server received nothing, and
+     *     only one for which {@link #isRefusal} is true proves that no process listens there
      */
     public CompletableFuture<ClientResponse> post(
             String url, Map<String, String> headers, byte[] body, Duration timeout) {
         return send("POST", url, headers, body, timeout);
     }
 
+    /**
+     * Returns whether a request failed because the operating system refused its connection, which proves that no process
+     * listens at the address.
+     *
+     * <p>Java throws a {@link ConnectException} also for a connection attempt that timed out in the operating system,
+     * so that the message must tell them apart.
+     *
+     * @param failure failure of a request
+     * @return true if the connection was refused; false for each other failure, among them the other failures to connect
+     */
+    public static boolean isRefusal(Throwable failure) {
+        return failure instanceof ConnectException
+                && failure.getCause() instanceof ConnectException cause
+                && REFUSED.equals(cause.getMessage());
+    }
+
     @Override
     public void close() {
         if (ownsTransport) {
@@ -208,7 +228,7 @@
         if (connection == null) {
             connect(exchange);
         } else {
-            write(connection, exchange);
+            writeOrResubmit(connection, exchange);
         }
     }
 
@@ -233,7 +253,10 @@
             CloseListener<Closeable, CloseType> listener =
                     (closedConnection, type) -> connectionClosed(exchange.address, connection);
             connection.addCloseListener(listener);
-            write(connection, exchange);
+            if (!write(connection, exchange)) {
+                exchange.response.completeExceptionally(
+                        new IOException("the connection was closed before the request was sent"));
+            }
         });
     }
 
@@ -261,28 +284,48 @@
         };
     }
 
-    private void write(Connection<?> connection, Exchange exchange) {
-        PENDING_RESPONSE.get(connection).set(exchange.response);
+    /**
+     * Sends an exchange on a connection of the pool, or on another one if that was closed before anything was sent. A new
+     * connection that is closed at once fails its exchange instead, so that a server that closes each is not asked again
+     * and again.
+     */
+    private void writeOrResubmit(Connection<?> connection, Exchange exchange) {
+        if (!write(connection, exchange)) {
+            submit(exchange);
+        }
+    }
+
+    /**
+     * Sends an exchange on a connection.
+     *
+     * @return false if the connection was closed before anything was sent and the exchange is still without a result
+     */
+    private static boolean write(Connection<?> connection, Exchange exchange) {
+        AtomicReference<CompletableFuture<ClientResponse>> pending = PENDING_RESPONSE.get(connection);
+        pending.set(exchange.response);
         exchange.response.whenComplete((response, failure) -> {
-            if (failure != null) {
+            if (failure != null && pending.compareAndSet(exchange.response, null)) {
                 connection.closeSilently();
             }
         });
         if (!connection.isOpen()) {
-            exchange.response.completeExceptionally(
-                    new IOException("the connection was closed before the request was sent"));
-            return;
+            return !pending.compareAndSet(exchange.response, null);
         }
         connection.write(exchange.content);
+        return true;
     }
 
+    /**
+     * Completes the exchange that a response answers. Whoever takes an exchange off its connection decides on that
+     * connection: a timeout that comes after the response leaves it alone, as it may carry the next exchange.
+     */
     private void responseReceived(Connection<?> connection, HttpResponsePacket packet, byte[] body) {
         CompletableFuture<ClientResponse> response =
                 PENDING_RESPONSE.get(connection).getAndSet(null);
         InetSocketAddress address = (InetSocketAddress) connection.getPeerAddress();
         if (response == null || !packet.getProcessingState().isKeepAlive()) {
             connection.closeSilently();
-        } else if (!response.isDone()) {
+        } else {
             releaseConnection(address, connection);
         }
         if (response != null) {
@@ -318,7 +361,7 @@
             }
         }
         if (next != null && connection != null) {
-            write(connection, next);
+            writeOrResubmit(connection, next);
         } else if (next != null) {
             connect(next);
         }
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** A message about best-effort jobs, between an entry and an agent or between two entries. */
@@ -18,8 +19,21 @@
      * Shows that the sender is alive and that the connection works.
      *
      * @param sentAtNanos the sender's monotonic time in nanoseconds
+     * @param echoedNanos {@code sentAtNanos} of the newest heartbeat that the sender had received on this connection,
+     *     by the receiver's monotonic clock; empty if it had received none, and always from a sender of an older
+     *     version
      */
-    record MemberHeartbeat(long sentAtNanos) implements BestEffortMessage {}
+    record MemberHeartbeat(long sentAtNanos, OptionalLong echoedNanos) implements BestEffortMessage {
+        /**
+         * Creates a heartbeat that confirms none of the receiver's.
+         *
+         * @param sentAtNanos the sender's monotonic time in nanoseconds
+         * @return the heartbeat
+         */
+        public static MemberHeartbeat withoutEcho(long sentAtNanos) {
+            return new MemberHeartbeat(sentAtNanos, OptionalLong.empty());
+        }
+    }
 
     /**
      * A task that an entry assigns to an agent, for one run on the agent's worker.
@@ -125,7 +139,28 @@
             double slowdown,
             double overdueSlowdown,
             double failureRate,
-            int runningTasks) {}
+            int runningTasks) {
+        /**
+         * Returns the status for an entry whose assignments would be returned.
+         *
+         * @return this status, with {@code acceptsTasks} false
+         */
+        public WorkerStatus withoutAcceptance() {
+            return new WorkerStatus(
+                    false,
+                    service,
+                    zone,
+                    capacity,
+                    uncommitted,
+                    idle,
+                    assignedByReceiver,
+                    meanRunDuration,
+                    slowdown,
+                    overdueSlowdown,
+                    failureRate,
+                    runningTasks);
+        }
+    }
 
     /**
      * Forwards the routes and closed zones that the sender knows, so that all members converge to the latest ones.
@@ -164,7 +199,8 @@
     }
 
     /**
-     * Asks a peer to abandon a job and stop its tasks, because its caller has contacted the sender.
+     * Asks a peer to abandon a job and stop its tasks, because its caller has contacted the sender. Unless the job was
+     * cancelled, the sender owns the job from now on, and the peer replies with {@link JobAbandoned}.
      *
      * @param job id of the job
      * @param cancelled true if the caller cancelled the job, false if the sender is going to run it again
@@ -172,10 +208,11 @@
     record AbandonJob(JobId job, boolean cancelled) implements BestEffortMessage {}
 
     /**
-     * Confirms that the sender has abandoned a job and asked all agents to which it had assigned tasks to stop them.
+     * Confirms that the sender has abandoned a job and that no run of its tasks is left: for each one its agent has
+     * reported the end, or is lost for so long that the run cannot go on.
      *
      * @param job id of the job
-     * @param wasActive true if the job was active until now, so that its tasks may not have stopped yet
+     * @param wasActive true if the job was active when the request to abandon it came
      */
     record JobAbandoned(JobId job, boolean wasActive) implements BestEffortMessage {}
 }
--- a/src/main/java/org/gypsumflow/traffic/WorkerClient.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerClient.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.traffic;
 
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.RunNumber;
@@ -10,9 +11,58 @@
 /**
  * Calls the worker that an agent controls.
  *
- * <p>A call whose future fails may still be executed later, unless it fails with a {@link java.net.ConnectException}.
+ * <p>What the failure of a call proves:
+ *
+ * <ul>
+ *   <li>{@link java.net.ConnectException}: the worker did not receive the call, and no process listens at its address,
+ *       so that the worker has ended with all its runs. Only a connection that the operating system refused shows this.
+ *   <li>{@link NotReceivedException}: the worker did not receive the call. It may live and execute its runs; the fault
+ *       may be the caller's, such as too many open files.
+ *   <li>{@link FencedException}: the worker has rejected the call.
+ *   <li>Any other failure, such as a timeout or a closed connection, proves nothing: the call may have been executed, or
+ *       be executed later.
+ * </ul>
+ *
+ * <p>The cause may be wrapped in a {@link java.util.concurrent.CompletionException}.
  */
 public interface WorkerClient {
+    /** Failure of a stop or a renewal that the worker rejected because it has seen a higher fencing token. */
+    final class FencedException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        private FencedException() {
+            super("the worker has seen a higher fencing token");
+        }
+
+        /**
+         * Creates an exception.
+         *
+         * @return the exception
+         */
+        public static FencedException create() {
+            return new FencedException();
+        }
+    }
+
+    /** A call that the worker did not receive, although it may still be running. */
+    final class NotReceivedException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        private NotReceivedException(Throwable cause) {
+            super("the worker did not receive the call", cause);
+        }
+
+        /**
+         * Creates an exception.
+         *
+         * @param cause why no connection could be opened
+         * @return the exception
+         */
+        public static NotReceivedException of(Throwable cause) {
+            return new NotReceivedException(cause);
+        }
+    }
+
     /**
      * Starts a run of a task.
      *
@@ -34,7 +84,8 @@
      * @param run number of the run
      * @param fencingToken fencing token of this agent incarnation; the worker rejects a token lower than the highest
      *     seen
-     * @return completes when the worker has acknowledged the stop
+     * @return completes when the worker has acknowledged the stop; fails with {@link FencedException} if the token is
+     *     too low
      */
     CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken);
 
@@ -42,7 +93,8 @@
      * Renews the lease of all runs and lists them.
      *
      * @param renewal lease, acknowledgement, and how long the worker may wait for a run to finish before it responds
-     * @return the running tasks, and the finished ones that were not acknowledged
+     * @return the running tasks, and the finished ones that were not acknowledged; fails with {@link FencedException}
+     *     if the token is too low
      */
     CompletableFuture<TaskListing> renew(LeaseRenewal renewal);
 }
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -10,7 +10,7 @@
 import org.gypsumflow.command.AgentScheduler.Actions;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.TaskRun;
-import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.WorkerLease;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.model.BestEffortTaskId;
@@ -35,11 +35,9 @@
     private static final Duration MAX_LISTING_DELAY = Duration.ofMillis(300);
     /**
      * Delay before a stop or a renewal that the worker left unanswered is sent again. Stops are repeated until the run
-     * has ended, renewals until the worker responds; once the lease has expired, its runs count as lost.
+     * has ended, renewals until the worker responds.
      */
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
-    /** Share by which the clock of a worker may run slow. */
-    private static final double MAX_CLOCK_DRIFT = 0.02;
     /**
      * Added to the fencing token when the worker has seen a higher one: one hour, as tokens start from the wall clock.
      */
@@ -55,14 +53,13 @@
 
     private long fencingToken;
     private long workerStartedAtMillis;
-    private boolean clockKnown;
-    private long clockOffsetMillis;
+    private WorkerLease lease = WorkerLease.none();
     private long acknowledgedThrough;
     private boolean renewalDue;
     private boolean renewalPending;
     private boolean unresponsive;
+    private boolean untrackedRunsListed;
     private long lastResponseNanos;
-    private long lastLeaseRequestNanos;
 
     /**
      * Creates a session without a worker.
@@ -96,7 +93,8 @@
         if (newIncarnation) {
             logLostRuns(runsBefore, "the worker was replaced by another incarnation");
             workerStartedAtMillis = report.startedAtMillis();
-            clockKnown = false;
+            lease = WorkerLease.none();
+            untrackedRunsListed = false;
             acknowledgedThrough = 0;
             lastResponseNanos = time.nanoTime();
             events.write(
@@ -107,13 +105,17 @@
                     report.draining(),
                     report.capacity());
             renewalDue = true;
+        } else if (report.startedAtMillis() == workerStartedAtMillis
+                && report.clockMillis() >= 0
+                && lease.isClockKnown()) {
+            lease.applyClockReading(report.clockMillis(), time.nanoTime());
         }
         executeActions();
     }
 
-    /** Records that a worker deregistered; its runs are lost if it is the present worker. */
-    void workerDeregistered(String worker) {
-        logLostRuns(scheduler.workerDeregistered(worker, time.nanoTime()), "the worker deregistered");
+    /** Records that a worker deregistered; its runs are lost if it is the present incarnation of the worker. */
+    void workerDeregistered(String worker, long startedAtMillis) {
+        logLostRuns(scheduler.workerDeregistered(worker, startedAtMillis, time.nanoTime()), "the worker deregistered");
         executeActions();
     }
 
@@ -121,6 +123,7 @@
      * Executes the actions that the scheduler has decided on since the last call, then renews the lease if necessary.
      */
     void executeActions() {
+        scheduler.setStartsAllowed(!lease.isClockKnown() || mayExtendLease(time.nanoTime()), time.nanoTime());
         Actions actions = scheduler.drainActions();
         while (!actions.isEmpty()) {
             actions.finishedAssignments().forEach(resultListener);
@@ -133,19 +136,20 @@
     }
 
     private void start(TaskRun run) {
-        if (!clockKnown) {
+        if (!mayExtendLease(time.nanoTime())) {
+            renewalDue = true;
             scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             return;
         }
         long startedAtMillis = workerStartedAtMillis;
-        lastLeaseRequestNanos = time.nanoTime();
+        long token = fencingToken;
         executor.whenDone(
-                client.start(run.task(), run.number(), run.specification(), leaseUntilMillis(), fencingToken),
+                client.start(run.task(), run.number(), run.specification(), lease.request(time.nanoTime()), token),
                 (response, failure) ->
-                        runIfSameIncarnation(startedAtMillis, () -> startCompleted(run, response, failure)));
+                        runIfSameIncarnation(startedAtMillis, () -> startCompleted(run, token, response, failure)));
     }
 
-    private void startCompleted(TaskRun run, StartResponse response, Throwable failure) {
+    private void startCompleted(TaskRun run, long token, StartResponse response, Throwable failure) {
         if (failure != null) {
             startFailed(run, failure);
             return;
@@ -157,7 +161,7 @@
             case NO_ROOM, TOO_LATE -> scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             case REFUSED -> scheduler.startRejected(run.task(), run.number(), false, true, time.nanoTime());
             case FENCED -> {
-                fencingToken += FENCING_TOKEN_STEP_MILLIS;
+                fencingToken = Math.max(fencingToken, token + FENCING_TOKEN_STEP_MILLIS);
                 scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             }
         }
@@ -167,7 +171,7 @@
     }
 
     private void startFailed(TaskRun run, Throwable failure) {
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a start", failure);
             workerExited("a start could not connect");
             return;
@@ -188,7 +192,7 @@
             scheduler.stopAcknowledged(run.task(), run.number(), time.nanoTime());
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             workerExited("a stop could not connect");
             return;
         }
@@ -201,21 +205,23 @@
     }
 
     private void renew() {
+        expireLease();
+        renewalDue |= lease.isClockKnown() && !lease.canRequest(time.nanoTime());
         if (renewalPending
                 || workerStartedAtMillis == 0
                 || (scheduler.activeRunCount() == 0 && !renewalDue && !unresponsive)) {
             return;
         }
         renewalPending = true;
-        boolean mayWait = clockKnown && !unresponsive && scheduler.activeRunCount() > 0;
+        long startedAtMillis = workerStartedAtMillis;
+        long requestedNanos = time.nanoTime();
+        boolean extendsLease = mayExtendLease(requestedNanos);
+        boolean mayWait = lease.isClockKnown() && !unresponsive && scheduler.activeRunCount() > 0;
         LeaseRenewal renewal = new LeaseRenewal(
                 fencingToken,
                 acknowledgedThrough,
-                clockKnown ? leaseUntilMillis() : -1,
+                extendsLease ? lease.request(requestedNanos) : -1,
                 mayWait ? MAX_LISTING_DELAY : Duration.ZERO);
-        long startedAtMillis = workerStartedAtMillis;
-        long requestedNanos = time.nanoTime();
-        lastLeaseRequestNanos = clockKnown ? requestedNanos : lastLeaseRequestNanos;
         renewalDue = false;
         executor.whenDone(
                 client.renew(renewal),
@@ -236,7 +242,7 @@
             executeActions();
             return;
         }
-        if (isConnectFailure(failure)) {
+        if (provesWorkerEnded(failure)) {
             events.write(Event.WORKER_UNRESPONSIVE, "a renewal", failure);
             workerExited("a renewal could not connect");
             unresponsive = false;
@@ -245,12 +251,6 @@
         }
         callFailed("a renewal", failure);
         renewalDue = true;
-        Duration leaseWithDrift = BestEffortTimings.LEASE_DURATION.plusMillis(
-                (long) (BestEffortTimings.LEASE_DURATION.toMillis() * MAX_CLOCK_DRIFT));
-        if (time.nanoTime() - lastResponseNanos
-                > leaseWithDrift.plus(BestEffortTimings.MAX_STOP_TIME).toNanos()) {
-            logLostRuns(scheduler.leaseExpired(time.nanoTime()), "the lease expired");
-        }
         executor.schedule(RETRY_DELAY, this::executeActions);
     }
 
@@ -266,9 +266,11 @@
                 scheduler.runFinished(finished.task(), finished.runNumber(), finished.outcome(), now);
             }
         }
+        untrackedRunsListed = false;
         for (RunningTask running : listing.running()) {
             listed.add(running.task());
             if (!scheduler.runProgressed(running.task(), running.runNumber(), running.percentDone(), now)) {
+                untrackedRunsListed = true;
                 events.write(
                         Event.UNTRACKED_RUN_STOPPED,
                         running.task(),
@@ -285,19 +287,16 @@
 
     private void logLostRuns(int runs, String evidence) {
         if (runs > 0) {
+            long now = time.nanoTime();
             events.write(
                     Event.RUNS_LOST,
                     runs,
                     evidence,
-                    millisSince(lastResponseNanos),
-                    millisSince(lastLeaseRequestNanos));
+                    Duration.ofNanos(now - lastResponseNanos).toMillis(),
+                    lease.sinceLastRequest(now).map(Duration::toMillis).orElse(-1L));
         }
     }
 
-    private long millisSince(long nanos) {
-        return Duration.ofNanos(time.nanoTime() - nanos).toMillis();
-    }
-
     private void runIfSameIncarnation(long startedAtMillis, Runnable action) {
         if (startedAtMillis == workerStartedAtMillis) {
             action.run();
@@ -312,12 +311,38 @@
             scheduler.setWorkerResponsive(true, time.nanoTime());
         }
         if (clockMillis >= 0) {
-            clockKnown = true;
-            clockOffsetMillis = clockMillis - localMillis();
+            lease.applyClockReading(clockMillis, lastResponseNanos);
+        }
+    }
+
+    /**
+     * Returns whether a start or a renewal may extend the lease, which all runs hold together. While the worker leaves
+     * calls unanswered it must not, so that the lease ends and the tasks can start elsewhere. Nor while a run goes on
+     * that has to be stopped because its entry is lost or because this agent does not track it: the entry starts that
+     * task elsewhere after a bounded time.
+     */
+    private boolean mayExtendLease(long nowNanos) {
+        return !unresponsive
+                && !untrackedRunsListed
+                && lease.canRequest(nowNanos)
+                && !scheduler.isStopOverdue(nowNanos);
+    }
+
+    /** Counts the runs of a worker that does not respond as lost once none of them can still hold a lease. */
+    private void expireLease() {
+        long now = time.nanoTime();
+        if (unresponsive && scheduler.activeRunCount() > 0 && !lease.mayBeHeld(now)) {
+            logLostRuns(scheduler.leaseExpired(now), "the lease expired");
+            executeActions();
         }
     }
 
+    /**
+     * Records a call without a usable response. The worker may carry it out later, so the fencing token rises: as soon
+     * as the worker has accepted a later call, it rejects this one.
+     */
     private void callFailed(String call, Throwable failure) {
+        fencingToken += isFenced(failure) ? FENCING_TOKEN_STEP_MILLIS : 1;
         if (!unresponsive) {
             unresponsive = true;
             events.write(Event.WORKER_UNRESPONSIVE, call, failure);
@@ -325,15 +350,13 @@
         }
     }
 
-    private long leaseUntilMillis() {
-        return localMillis() + clockOffsetMillis + BestEffortTimings.LEASE_DURATION.toMillis();
-    }
-
-    private long localMillis() {
-        return Duration.ofNanos(time.nanoTime()).toMillis();
+    private static boolean isFenced(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof WorkerClient.FencedException;
     }
 
-    private static boolean isConnectFailure(Throwable failure) {
+    /** Returns whether a call's failure proves that no worker process listens any more, see {@link WorkerClient}. */
+    private static boolean provesWorkerEnded(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException;
     }
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -1,7 +1,9 @@
 package org.gypsumflow.wire;
 
+import io.netty.util.NetUtil;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage;
@@ -19,6 +21,7 @@
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
@@ -30,6 +33,7 @@
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
+import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.wire.generated.AmountPart;
 import org.gypsumflow.wire.generated.EndedPart;
 import org.gypsumflow.wire.generated.EndingPart;
@@ -48,6 +52,7 @@
  */
 final class BestEffortCodec {
     private static final int HEXADECIMAL_RADIX = 16;
+    private static final int MAX_PORT = 65_535;
     private static final long NANOS_PER_MICRO = 1000;
 
     private BestEffortCodec() {}
@@ -59,7 +64,9 @@
                     .setMember(encode(introduce.member()))
                     .setIncarnation(introduce.incarnation().value()));
         } else if (message instanceof MemberHeartbeat heartbeat) {
-            envelope.setNodeHeartbeat(NodeHeartbeat.newBuilder().setSentAtNanos(heartbeat.sentAtNanos()));
+            NodeHeartbeat.Builder encoded = NodeHeartbeat.newBuilder().setSentAtNanos(heartbeat.sentAtNanos());
+            heartbeat.echoedNanos().ifPresent(encoded::setEchoedNanos);
+            envelope.setNodeHeartbeat(encoded);
         } else if (message instanceof AssignTasks assign) {
             envelope.setStartOrders(encode(assign));
         } else if (message instanceof StopTasks stop) {
@@ -93,8 +100,7 @@
                 new Introduce(
                         decode(envelope.getIntroduce().getMember()),
                         Incarnation.of(envelope.getIntroduce().getIncarnation()));
-            case NODE_HEARTBEAT ->
-                new MemberHeartbeat(envelope.getNodeHeartbeat().getSentAtNanos());
+            case NODE_HEARTBEAT -> decode(envelope.getNodeHeartbeat());
             case START_ORDERS -> decode(envelope.getStartOrders());
             case STOP_ORDERS ->
                 new StopTasks(
@@ -119,6 +125,12 @@
         };
     }
 
+    private static MemberHeartbeat decode(NodeHeartbeat heartbeat) {
+        return new MemberHeartbeat(
+                heartbeat.getSentAtNanos(),
+                heartbeat.hasEchoedNanos() ? OptionalLong.of(heartbeat.getEchoedNanos()) : OptionalLong.empty());
+    }
+
     static MemberOfSystem encode(Member member) {
         return MemberOfSystem.newBuilder()
                 .setNode(member.name().value())
@@ -129,12 +141,23 @@
                 .build();
     }
 
+    /**
+     * Decodes a member.
+     *
+     * @throws ValidationException if a name is invalid, the host is not an IP address, or the port is out of range
+     */
     static Member decode(MemberOfSystem part) {
+        String host = part.getHost();
+        Check.isTrue(
+                NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host),
+                "host",
+                "is \"" + host + "\", but must be an IP address");
+        Check.range("port", part.getPort(), 1, MAX_PORT);
         return new Member(
                 MemberName.of(part.getNode()),
                 part.getEntry() ? Member.Role.ENTRY : Member.Role.AGENT,
                 AvailabilityZone.of(part.getZone()),
-                part.getHost(),
+                host,
                 part.getPort());
     }
 
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.control.ManualExecutor;
@@ -25,6 +26,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.Message;
 import org.gypsumflow.model.Resources;
 import org.gypsumflow.model.Route;
 import org.gypsumflow.model.RouteName;
@@ -37,6 +39,8 @@
 public final class BestEffortEntryTest {
     private static final MemberName AGENT = MemberName.of("agent");
     private static final MemberName PEER = MemberName.of("peer");
+    private static final MemberName OTHER_PEER = MemberName.of("other-peer");
+    private static final JobId JOB = JobId.of("00000000000000b1");
     private static final Route ROUTE = new Route(
             RouteName.of("r"), "", "/", ServiceName.of("s"), 0, 2, 1.6, Duration.ofMillis(60), Duration.ofSeconds(2));
     private static final Duration REMAINING_TIME = Duration.ofSeconds(5);
@@ -80,6 +84,30 @@
         return entry.submit(job, REMAINING_TIME, disconnected);
     }
 
+    private CompletableFuture<BestEffortOutcome> submit(JobId id) {
+        return submit(id.value(), new CompletableFuture<>());
+    }
+
+    private void report(TaskAssignment assignment, RunOutcome outcome) {
+        RunResult result = new RunResult(assignment.task(), assignment.runNumber(), outcome, Duration.ofMillis(100));
+        entry.jobMessageReceived(AGENT, new AgentReport(List.of(result), freeWorkerStatus()));
+    }
+
+    private void disconnect(MemberName name, Member.Role role) {
+        entry.memberDisconnected(member(name, role), executor.timeSource().nanoTime());
+    }
+
+    private static Verdict verdict(CompletableFuture<BestEffortOutcome> outcome) {
+        return outcome.thenApply(BestEffortOutcome::verdict).getNow(null);
+    }
+
+    private static <T extends Message> List<T> sentTo(RecordingConnection connection, Class<T> kind) {
+        return connection.sent().stream()
+                .filter(kind::isInstance)
+                .map(kind::cast)
+                .toList();
+    }
+
     private List<TaskAssignment> assignments() {
         return agent.sent().stream()
                 .filter(AssignTasks.class::isInstance)
@@ -110,10 +138,9 @@
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(job)));
         submit(job.value(), new CompletableFuture<>());
         assertEquals(peer.sent(), List.of(new AbandonJob(job, false)));
+        executor.advance(1000);
         assertTrue(assignments().isEmpty());
         entry.jobMessageReceived(PEER, new JobAbandoned(job, true));
-        assertTrue(assignments().isEmpty());
-        executor.advance(250);
         assertEquals(assignments().size(), 1);
     }
 
@@ -141,4 +168,237 @@
         executor.advance(200);
         assertEquals(outcome.join().verdict(), Verdict.MAY_HAVE_RUN);
     }
+
+    // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
+    @Test
+    public void anEntryThatWasPausedAbandonsItsActiveJobsAlthoughTheWallClockWasSetBackMeanwhile() {
+        CompletableFuture<BestEffortOutcome> outcome = submit("00000000000000a7", new CompletableFuture<>());
+        executor.advanceClockOnly(4000);
+        executor.stepWallClock(-4000);
+        executor.advance(200);
+        assertEquals(outcome.thenApply(BestEffortOutcome::verdict).getNow(Verdict.COMPLETED), Verdict.MAY_HAVE_RUN);
+    }
+
+    // Guards against a second start elsewhere while the stops of the first runs are unanswered or late.
+    @Test
+    public void anEntryConfirmsThatItAbandonedAJobOnlyAfterEveryRunHasEnded() {
+        submit(JOB);
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        executor.advance(1000);
+        assertTrue(sentTo(peer, JobAbandoned.class).isEmpty());
+        report(assignments().get(0), RunOutcome.LOST);
+        assertEquals(sentTo(peer, JobAbandoned.class), List.of(new JobAbandoned(JOB, true)));
+    }
+
+    // Guards against a second start elsewhere while an agent that is out of contact may still run the task.
+    @Test
+    public void anEntryConfirmsThatItAbandonedAJobOfALostAgentOnlyAfterTheReassignmentTime() {
+        submit(JOB);
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        disconnect(AGENT, Member.Role.AGENT);
+        executor.advance(BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(sentTo(peer, JobAbandoned.class).isEmpty());
+        executor.advance(150);
+        assertEquals(sentTo(peer, JobAbandoned.class).size(), 1);
+    }
+
+    @Test
+    public void anEntryThatDoesNotKnowAJobConfirmsItsAbandonmentAtOnce() {
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        assertEquals(peer.sent(), List.of(new JobAbandoned(JOB, false)));
+    }
+
+    // Guards against a second start while a lost owner's agents have not stopped its tasks yet.
+    @Test
+    public void aJobWhoseOwnerIsLostStartsOnlyWhenTheAgentsOfTheOwnerHaveStoppedItsTasks() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        disconnect(PEER, Member.Role.ENTRY);
+        executor.advance(1300);
+        submit(JOB);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1301);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against a second start when the owner is lost during the wait for its reply.
+    @Test
+    public void aJobWhoseOwnerIsLostDuringTheHandoverStartsOnlyWhenItsTasksHaveBeenStopped() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        disconnect(PEER, Member.Role.ENTRY);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against a second start because a restarted owner, which knows nothing of its former tasks, replies.
+    @Test
+    public void theReplyOfARestartedOwnerDoesNotProveThatTheTasksOfItsFormerIncarnationHaveEnded() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        disconnect(PEER, Member.Role.ENTRY);
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        submit(JOB);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, false));
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void anOwnerThatConnectsAgainDuringTheHandoverIsAskedAgainAndItsReplyIsAwaited() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        disconnect(PEER, Member.Role.ENTRY);
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        assertEquals(sentTo(peer, AbandonJob.class).size(), 2);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() + 100);
+        assertTrue(assignments().isEmpty());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void aCallerWhoseTimeCannotSufficeForTheHandoverIsToldThatTheJobMayHaveRun() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.advance(REMAINING_TIME.toMillis() - 500);
+        assertFalse(outcome.isDone());
+        executor.advance(200);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against a second start because an entry other than the owner replied, as to a cancellation.
+    @Test
+    public void theReplyOfAnEntryThatIsNotTheOwnerDoesNotStartTheJob() {
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), RecordingConnection.create());
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        entry.jobMessageReceived(OTHER_PEER, new JobAbandoned(JOB, false));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against the start of a job after its cancellation was confirmed.
+    @Test
+    public void aJobThatIsCancelledDuringTheHandoverDoesNotStart() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        assertTrue(entry.cancel(JOB).getNow(false));
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+        assertEquals(outcome.getNow(null), BestEffortOutcome.ofCancelled());
+    }
+
+    // Guards against a second start beside that of an entry which accepted the job during the handover.
+    @Test
+    public void anEntryThatAcceptedTheJobDuringTheHandoverIsAskedToAbandonItAsWell() {
+        RecordingConnection otherPeer = RecordingConnection.create();
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        executor.advance(1);
+        entry.jobMessageReceived(OTHER_PEER, new ShareJobs(List.of(JOB)));
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+        assertEquals(sentTo(otherPeer, AbandonJob.class), List.of(new AbandonJob(JOB, false)));
+        entry.jobMessageReceived(OTHER_PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against two entries that ask each other at the same time and both start the job, or neither replies.
+    @Test
+    public void anEntryThatIsAskedByTheOwnerDuringTheHandoverGivesWayAndRepliesAtOnce() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        assertEquals(sentTo(peer, JobAbandoned.class).size(), 1);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, false));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against a second start by a third entry while the owner's runs have not ended.
+    @Test
+    public void aThirdEntryThatAsksDuringTheHandoverGetsAReplyOnlyAfterTheOwnerReplied() {
+        RecordingConnection otherPeer = RecordingConnection.create();
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        assertEquals(otherPeer.sent(), List.of(new ShareJobs(List.of(JOB))));
+        entry.jobMessageReceived(OTHER_PEER, new AbandonJob(JOB, false));
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        assertTrue(sentTo(otherPeer, JobAbandoned.class).isEmpty());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(sentTo(otherPeer, JobAbandoned.class).size(), 1);
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against a second start by an entry whose pause was so long that others took the job over.
+    @Test
+    public void anEntryThatWasPausedDuringTheHandoverDoesNotStartTheJob() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.advanceClockOnly(1000);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+        assertTrue(assignments().isEmpty());
+    }
+
+    @Test
+    public void severalRequestsDuringTheHandoverAskTheOwnerOnceAndStartTheJobOnce() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        CompletableFuture<BestEffortOutcome> first = submit(JOB);
+        CompletableFuture<BestEffortOutcome> second = submit(JOB);
+        assertEquals(sentTo(peer, AbandonJob.class).size(), 1);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        assertEquals(assignments().size(), 1);
+        report(assignments().get(0), RunOutcome.DONE);
+        assertEquals(first.getNow(null), BestEffortOutcome.completed());
+        assertEquals(second.getNow(null), BestEffortOutcome.completed());
+    }
+
+    @Test
+    public void aJobWhoseCallerDisconnectsDuringTheHandoverDoesNotStart() {
+        CompletableFuture<Void> disconnected = new CompletableFuture<>();
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB.value(), disconnected);
+        disconnected.complete(null);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        executor.advance(1000);
+        assertTrue(assignments().isEmpty());
+    }
+
+    @Test
+    public void aDrainingEntryWaitsForTheJobsThatItTakesOver() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        CompletableFuture<Void> drained = entry.drain(Duration.ZERO);
+        executor.advance(200);
+        assertFalse(drained.isDone());
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, true));
+        report(assignments().get(0), RunOutcome.DONE);
+        assertTrue(drained.isDone());
+    }
+
+    // Guards against a second start because this entry was paused and takes its own silence for that of the owner.
+    @Test
+    public void anEntryThatWasPausedDoesNotCountThePauseAsSilenceOfTheOwner() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        long lastMessageNanos = executor.timeSource().nanoTime();
+        executor.advanceClockOnly(5000);
+        entry.memberDisconnected(member(PEER, Member.Role.ENTRY), lastMessageNanos);
+        submit(JOB);
+        executor.advance(1500);
+        assertTrue(assignments().isEmpty());
+        executor.advance(200);
+        assertEquals(assignments().size(), 1);
+    }
 }
--- a/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
@@ -135,7 +135,7 @@
             if (!leaving.isDead()) {
                 trace.accept("worker of " + agentName + " deregisters");
                 leaving.die("left");
-                deliver(() -> agent.workerLeft(leaving.id));
+                deliver(() -> agent.workerLeft(leaving.id, leaving.bornMillis));
                 startAgainAfter(downTime, false);
             }
         });
@@ -186,7 +186,7 @@
             public CompletableFuture<TaskListing> renew(LeaseRenewal renewal) {
                 return call(process, CALL_TIMEOUT.plus(renewal.maxWait()), "a renewal", (target, response) -> {
                     if (!target.renew(renewal, response::complete)) {
-                        response.completeExceptionally(new IllegalStateException("got HTTP status 409"));
+                        response.completeExceptionally(WorkerClient.FencedException.create());
                     }
                 });
             }
@@ -197,7 +197,7 @@
         if (done) {
             response.complete(null);
         } else {
-            response.completeExceptionally(new IllegalStateException("got HTTP status 409"));
+            response.completeExceptionally(WorkerClient.FencedException.create());
         }
     }
 
@@ -275,7 +275,15 @@
             return;
         }
         WorkerReport report = new WorkerReport(
-                worker.id, worker.bornMillis, SERVICE, zone, worker.capacity, "rack", draining, ++sequence);
+                worker.id,
+                worker.bornMillis,
+                SERVICE,
+                zone,
+                worker.capacity,
+                "rack",
+                draining,
+                ++sequence,
+                worker.clockMillis());
         latestReport = report;
         deliver(() -> agent.workerReported(report));
     }
