--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -111,6 +111,7 @@
     @Test
     public void anEntryThatRestartedDoesNotStartAJobThatAnotherEntryStillRuns() {
         assertPromisesHold(List.of(1049L, 1405L, 3161L), CALLS_THAT_FAIL);
+        assertPromisesHold(List.of(1801L, 3620L));
     }
 
     // Guards against two runs of one task: an entry that was not connected to the owner of a job when the owner
@@ -119,6 +120,7 @@
     @Test
     public void anEntryThatIsSeparatedFromAnotherDoesNotStartAJobThatTheOtherStillRuns() {
         assertPromisesHold(List.of(3067L), CALLS_THAT_FAIL, ENTRIES_THAT_STOP, WORKERS_THAT_CRASH);
+        assertPromisesHold(List.of(4981L));
     }
 
     // Guards against two runs of one task: an entry took over a job 200 ms after its owner had abandoned it, while the
@@ -148,6 +150,7 @@
     @Test
     public void aRunThatANewIncarnationOfTheWorkerAcceptedBeforeItsReportIsNotLost() {
         assertPromisesHold(List.of(384L, 3783L), CALLS_THAT_FAIL);
+        assertPromisesHold(List.of(1863L, 3783L, 4374L));
     }
 
     // Guards against jobs that never complete: an agent that restarted with a lower fencing token than its predecessor
