--- a/src/test/java/org/gypsumflow/control/MemberDiscoveryTest.java
+++ b/src/test/java/org/gypsumflow/control/MemberDiscoveryTest.java
@@ -26,10 +26,10 @@
         public void memberDisconnected(Member member, long lastReceivedNanos) {}
 
         @Override
-        public void contactConfirmed(MemberName member, long sentAtNanos) {}
+        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {}
 
         @Override
-        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {}
+        public void contactConfirmed(MemberName member, long sentAtNanos) {}
 
         @Override
         public void routingStateReceived(MemberName sender, ShareRoutingState state) {}
