--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -43,8 +43,9 @@
     private static final Duration MAX_RECONNECT_DELAY = Duration.ofMillis(800);
 
     /**
-     * Callbacks for connections and messages. Connections and routing states are reported on the control thread, job
-     * messages and confirmed contacts on the thread on which they arrived.
+     * Callbacks for connections and messages. Connections and routing states are reported on the control thread, confirmed
+     * contacts and job messages on the thread on which they arrived, but on the control thread if the member's
+     * introduction was still waiting there.
      */
     public interface MemberListener {
         /**
@@ -257,13 +258,24 @@
         } else if (message instanceof MemberHeartbeat heartbeat) {
             heartbeatReceived(connection, state, heartbeat);
         } else if (message instanceof BestEffortMessage jobMessage) {
-            Member member = state.member;
-            if (member != null) {
-                listener.jobMessageReceived(member.name(), jobMessage);
-            }
+            jobMessageReceived(state, jobMessage);
         }
     }
 
+    /** Passes a job message on; one that follows the introduction closely waits until that has been handled. */
+    private void jobMessageReceived(ConnectionState state, BestEffortMessage message) {
+        Member member = state.member;
+        if (member != null) {
+            listener.jobMessageReceived(member.name(), message);
+            return;
+        }
+        controlExecutor.execute(() -> {
+            if (state.member != null) {
+                listener.jobMessageReceived(state.member.name(), message);
+            }
+        });
+    }
+
     @Override
     public void connectionClosed(Connection connection) {
         controlExecutor.execute(() -> connectionEnded(connection, "disconnected"));
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -14,9 +14,11 @@
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
+import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.Incarnation;
+import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Message;
@@ -66,12 +68,34 @@
         }
 
         @Override
-        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {}
+        public void jobMessageReceived(MemberName sender, BestEffortMessage message) {
+            jobMessages.add(message);
+        }
 
         @Override
         public void routingStateReceived(MemberName sender, ShareRoutingState state) {}
     }
 
+    /** Executor whose actions wait until the test runs them, as those of a thread that is busy. */
+    private static final class BusyExecutor implements SerialExecutor {
+        private final List<Runnable> waiting = new ArrayList<>();
+
+        @Override
+        public void execute(Runnable action) {
+            waiting.add(action);
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable action) {}
+
+        private void runWaiting() {
+            List<Runnable> actions = List.copyOf(waiting);
+            waiting.clear();
+            actions.forEach(Runnable::run);
+        }
+    }
+
+    private final List<BestEffortMessage> jobMessages = new ArrayList<>();
     private final List<String> notifications = new ArrayList<>();
     private final List<RecordingConnection> connections = new ArrayList<>();
     private final List<Connection> connectedMembers = new ArrayList<>();
@@ -92,6 +116,7 @@
 
     private void createManagerOf(Member self) {
         notifications.clear();
+        jobMessages.clear();
         connections.clear();
         connectedMembers.clear();
         connectAttempts = 0;
@@ -296,4 +321,26 @@
         }
         assertEquals(notifications, List.of("connected"));
     }
+
+    // Guards against two runs of one task: the jobs that a peer announced when it connected were dropped, since its
+    // introduction was still waiting for the control thread.
+    @Test
+    public void aJobMessageThatFollowsTheIntroductionCloselyIsPassedOnAfterIt() {
+        BusyExecutor busyExecutor = new BusyExecutor();
+        connectionManager = ConnectionManager.create(
+                SELF,
+                Incarnation.random(),
+                busyExecutor,
+                executor.timeSource(),
+                (member, listener) -> connect(),
+                new RecordingListener(),
+                (event, details) -> {});
+        RecordingConnection connection = new RecordingConnection();
+        ShareJobs announcement = new ShareJobs(List.of(JobId.of("00000000000000aa")));
+        connectionManager.messageReceived(connection, new Introduce(AGENT, Incarnation.random()));
+        connectionManager.messageReceived(connection, announcement);
+        busyExecutor.runWaiting();
+        assertEquals(notifications, List.of("connected"));
+        assertEquals(jobMessages, List.of(announcement));
+    }
 }
