Keep the runs of a worker that deregisters without naming its incarnation

Such a deregistration was logged as unreadable and ignored. It now stops new tasks until the worker reports again and leaves the runs to the next renewal, which shows whether the worker has gone; nothing is logged as unreadable. One that names the present incarnation still ends its runs at once.

The row of the test for an empty body moves to a test of its own, which also checks that new tasks are returned.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -313,15 +313,25 @@
      * Records that a worker deregistered; if it is the present incarnation of this agent's worker, its runs are lost and
      * waiting tasks go back.
      *
-     * @param workerId id of the worker, which it keeps when it starts again
-     * @param startedAtMillis when the incarnation that deregistered started, in milliseconds since the epoch
+     * <p>A deregistration without a start time may be one of an earlier incarnation that arrives late. Its worker gets no
+     * tasks until it reports again, and keeps its runs until there is proof that they have ended.
+     *
+     * @param workerId id of the worker
+     * @param startedAtMillis when that incarnation started, in milliseconds since the epoch, or
+     *     {@link WorkerReport#START_NOT_REPORTED}
      * @param nowNanos current monotonic time
      * @return number of runs that are lost
      */
     public int workerDeregistered(String workerId, long startedAtMillis, long nowNanos) {
-        boolean present =
-                worker != null && worker.worker().equals(workerId) && worker.startedAtMillis() == startedAtMillis;
-        return present ? workerExited(nowNanos) : 0;
+        if (worker == null || !worker.worker().equals(workerId)) {
+            return 0;
+        }
+        if (startedAtMillis == WorkerReport.START_NOT_REPORTED) {
+            reachable = false;
+            returnWaiting(tracked -> true, nowNanos);
+            return 0;
+        }
+        return worker.startedAtMillis() == startedAtMillis ? workerExited(nowNanos) : 0;
     }
 
     /**
--- a/src/main/java/org/gypsumflow/model/WorkerReport.java
+++ b/src/main/java/org/gypsumflow/model/WorkerReport.java
@@ -22,4 +22,7 @@
         String rack,
         boolean draining,
         long sequence,
-        long clockMillis) {}
+        long clockMillis) {
+    /** Stands for the start time of an incarnation in a message of a worker that does not report it. */
+    public static final long START_NOT_REPORTED = -1;
+}
--- a/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
+++ b/src/main/java/org/gypsumflow/platform/WorkerReportResource.java
@@ -56,9 +56,7 @@
         });
         server.addHandler("POST", "/Instances.Deregister", request -> {
             try {
-                long startedAtMillis =
-                        Json.requiredInteger(Json.parseObject(request.body()), "born", 0, Json.MAX_EPOCH_MILLIS);
-                workerDeregistered.accept(request.path(), startedAtMillis);
+                workerDeregistered.accept(request.path(), parseStart(request.body()));
             } catch (ValidationException unreadable) {
                 events.write(
                         Event.MESSAGE_UNREADABLE,
@@ -99,6 +97,13 @@
                         : CLOCK_NOT_REPORTED);
     }
 
+    /** Parses the start time in the body of a deregistration, which may be empty. */
+    private static long parseStart(byte[] body) {
+        return body.length == 0
+                ? WorkerReport.START_NOT_REPORTED
+                : Json.requiredInteger(Json.parseObject(body), "born", 0, Json.MAX_EPOCH_MILLIS);
+    }
+
     private static String shortId(String worker) {
         return worker.length() <= Check.MAX_NAME_LENGTH ? worker : worker.substring(0, Check.MAX_NAME_LENGTH) + "...";
     }
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -111,8 +111,12 @@
         executeActions();
     }
 
-    /** Records that a worker deregistered; its runs are lost if it is the present incarnation of the worker. */
+    /**
+     * Records that a worker deregistered; its runs are lost if it is certainly the present incarnation of the worker.
+     * Otherwise the next renewal shows whether it still runs.
+     */
     void workerDeregistered(String worker, long startedAtMillis) {
+        renewalDue = true;
         logLostRuns(scheduler.workerDeregistered(worker, startedAtMillis, time.nanoTime()), "the worker deregistered");
         executeActions();
     }
--- a/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
+++ b/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
@@ -70,6 +70,7 @@
 
     private final List<RunOutcome> outcomes = new CopyOnWriteArrayList<>();
     private final List<Event> written = new CopyOnWriteArrayList<>();
+    private BestEffortAgent agent;
     private GrizzlyHttpServer server;
     private HttpClient httpClient;
     private String baseUrl;
@@ -79,7 +80,7 @@
         outcomes.clear();
         written.clear();
         ManualExecutor executor = new ManualExecutor();
-        BestEffortAgent agent = BestEffortAgent.create(
+        agent = BestEffortAgent.create(
                 executor,
                 executor.timeSource(),
                 new WillingWorker(),
@@ -97,7 +98,7 @@
                 "/Instances.Heartbeat/i-7f3a91c2",
                 "{\"service\":\"s\",\"zone\":\"sofia\",\"state\":\"ready\",\"capacity\":{\"cpu\":8000,\"memMb\":1000},"
                         + "\"sequence\":1,\"born\":" + PRESENT_START_MILLIS + "}");
-        agent.jobMessageReceived(ENTRY, new AssignTasks(List.of(assignment())));
+        agent.jobMessageReceived(ENTRY, new AssignTasks(List.of(assignment(0))));
     }
 
     @AfterMethod
@@ -120,9 +121,9 @@
         };
     }
 
-    private static TaskAssignment assignment() {
+    private static TaskAssignment assignment(int index) {
         return new TaskAssignment(
-                BestEffortTaskId.of(JobId.of("00000000000000aa"), 0),
+                BestEffortTaskId.of(JobId.of("00000000000000aa"), index),
                 RunNumber.FIRST,
                 "text",
                 Resources.of(3000, 10, 0),
@@ -153,10 +154,19 @@
         assertEquals(outcomes, List.of());
     }
 
+    // Guards against two runs of one task: a deregistration has no body where the platform does not report the start.
+    @Test
+    public void aDeregistrationWithoutABodyLeavesTheRunsAloneAndReturnsNewTasks() {
+        post("/Instances.Deregister/i-7f3a91c2", "");
+        assertEquals(outcomes, List.of());
+        agent.jobMessageReceived(ENTRY, new AssignTasks(List.of(assignment(1))));
+        assertEquals(outcomes, List.of(RunOutcome.NOT_STARTED));
+        assertEquals(written, List.of());
+    }
+
     @DataProvider
     public Object[][] bodiesWithoutAStartTime() {
         return new Object[][] {
-            {""},
             {"{}"},
             {"?"},
             {"{\"born\":\"" + PRESENT_START_MILLIS + "\"}"},
