--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -106,8 +106,7 @@
     }
 
     // Guards against two runs of one task: an entry that had restarted did not know the jobs that its peers had
-    // accepted
-    // before, and started one of them when its caller sent it again.
+    // accepted before, and started one of them when its caller sent it again.
     @Test
     public void anEntryThatRestartedDoesNotStartAJobThatAnotherEntryStillRuns() {
         assertPromisesHold(List.of(1049L, 1405L, 3161L), CALLS_THAT_FAIL);
@@ -115,14 +114,20 @@
     }
 
     // Guards against two runs of one task: an entry that was not connected to the owner of a job when the owner
-    // accepted
-    // it, or is not when the job is sent again, started it.
+    // accepted it, or is not when the job is sent again, started it.
     @Test
     public void anEntryThatIsSeparatedFromAnotherDoesNotStartAJobThatTheOtherStillRuns() {
         assertPromisesHold(List.of(3067L), CALLS_THAT_FAIL, ENTRIES_THAT_STOP, WORKERS_THAT_CRASH);
         assertPromisesHold(List.of(4981L));
     }
 
+    // Guards against two runs of one task: an entry that is separated from the owner of a job from before the owner
+    // accepts it until after its caller sends it again cannot learn that it has an owner.
+    @Test
+    public void anEntryThatIsSeparatedFromTheOwnerAllTheWhileDoesNotStartAJobThatTheOwnerStillRuns() {
+        assertPromisesHold(List.of(10322L));
+    }
+
     // Guards against two runs of one task: an entry took over a job 200 ms after its owner had abandoned it, while the
     // stop was still on its way to an agent over a slow connection.
     @Test
