Take no missing connection for the proof that the owner of a job is gone

Found in review: a handover from an owner whose connection was not known, neither as open nor as lost, began at once. While a connection is being registered, a message of the new peer could reach the traffic thread before the connection did, so that its announcement made it the owner of a job without a connection.

--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -306,13 +306,14 @@
                 listener.memberDisconnected(member, previousState.end());
             }
         }
-        state.member = member;
         connecting.remove(member.name());
         if (!initiatedHere.contains(connection)) {
             connection.send(new Introduce(self, incarnation));
         }
         events.write(Event.MEMBER_CONNECTED, member.role(), member.name(), member.zone(), introduce.incarnation());
         listener.memberConnected(member, new SendTrackingConnection(connection, state, time));
+        // Messages that arrive from now on are passed on directly, and must not overtake the notification above.
+        state.member = member;
         boolean unansweredHeartbeat = echoesHeartbeatsOf(member) && state.receivedHeartbeatNanos.isPresent();
         if (sendsHeartbeatsAlwaysTo(member) || unansweredHeartbeat) {
             sendHeartbeat(connection, state);
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -114,10 +114,14 @@
     void begin(Submission submission, MemberName owner) {
         JobId job = submission.job().id();
         long nowNanos = time.nanoTime();
-        Handover handover = new Handover(job, owner, nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, nowNanos));
+        boolean asked = ownerClient.requestAbandonment(owner, job);
+        // An owner whose connection is not known here yet or any more may be running the job.
+        long defaultNanos = asked ? nowNanos : nowNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
+        Handover handover =
+                new Handover(job, owner, nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, defaultNanos));
         handovers.put(job, handover);
         handover.submissions.add(submission);
-        handover.awaitsReply = ownerClient.requestAbandonment(owner, job);
+        handover.awaitsReply = asked;
         giveUpWhereTimeCannotSuffice(handover);
         completeIfProven(handover);
     }
