--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -128,6 +128,13 @@
         assertPromisesHold(List.of(10322L));
     }
 
+    // Guards against two runs of one task: an entry that has restarted and is not connected to the others yet starts a
+    // job that one of them still runs.
+    @Test
+    public void anEntryThatHasRestartedAndIsNotConnectedYetDoesNotStartAJobThatAnotherEntryStillRuns() {
+        assertPromisesHold(List.of(13376L));
+    }
+
     // Guards against two runs of one task: an entry took over a job 200 ms after its owner had abandoned it, while the
     // stop was still on its way to an agent over a slow connection.
     @Test
