Wait for proof where a worker deregisters, refuses a connection or restarts

It now ends the runs that the worker had confirmed before the refused call; the others are resolved by their own calls, a listing, or the end of the lease. - A reading of the clock behind the slowest clock was ignored for good; it is taken once the present one is too old. - A listing of a new incarnation whose report had not come was followed by the next renewal without a pause. - The worker counted as accepting tasks while its first renewal failed. - Calls that were overtaken by the raised fencing token raised it by an hour each.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -183,14 +183,17 @@
     }
 
     /**
-     * Records that the worker process has exited: its runs are lost, and waiting tasks go back to their entries.
+     * Records that no worker process listens any more: the runs that it confirmed before are lost, and waiting tasks go
+     * back. Others may be starting at a new incarnation.
      *
+     * @param observedNanos monotonic time from which on no process listened, at the latest
      * @param nowNanos current monotonic time
      * @return number of runs that are lost
      */
-    public int workerExited(long nowNanos) {
+    public int workerExited(long observedNanos, long nowNanos) {
         reachable = false;
-        int lostRuns = markRunsLost(nowNanos);
+        int lostRuns =
+                markRunsLost(tracked -> tracked.confirmed && tracked.confirmedNanos - observedNanos < 0, nowNanos);
         returnWaiting(tracked -> true, nowNanos);
         return lostRuns;
     }
@@ -203,7 +206,7 @@
      * @return number of runs that are lost
      */
     public int leaseExpired(long nowNanos) {
-        return markRunsLost(nowNanos);
+        return markRunsLost(tracked -> true, nowNanos);
     }
 
     /**
@@ -310,28 +313,30 @@
     }
 
     /**
-     * Records that a worker deregistered; if it is the present incarnation of this agent's worker, its runs are lost and
-     * waiting tasks go back.
+     * Records that a worker deregistered; if it may be the present incarnation of this agent's worker, that one gets no
+     * tasks until it reports again, and waiting tasks go back.
      *
-     * <p>A deregistration without a start time may be one of an earlier incarnation that arrives late. Its worker gets no
-     * tasks until it reports again, and keeps its runs until there is proof that they have ended.
+     * <p>A worker deregisters before it ends, so that its runs are stopped; they have ended when it does not list them or
+     * refuses connections. A deregistration without a start time may be one of an earlier incarnation that arrives late,
+     * and leaves the runs alone.
      *
      * @param workerId id of the worker
      * @param startedAtMillis when that incarnation started, in milliseconds since the epoch, or
      *     {@link WorkerReport#START_NOT_REPORTED}
      * @param nowNanos current monotonic time
-     * @return number of runs that are lost
      */
-    public int workerDeregistered(String workerId, long startedAtMillis, long nowNanos) {
-        if (worker == null || !worker.worker().equals(workerId)) {
-            return 0;
+    public void workerDeregistered(String workerId, long startedAtMillis, long nowNanos) {
+        boolean present = worker != null && worker.startedAtMillis() == startedAtMillis;
+        if (worker == null
+                || !worker.worker().equals(workerId)
+                || !(present || startedAtMillis == WorkerReport.START_NOT_REPORTED)) {
+            return;
         }
-        if (startedAtMillis == WorkerReport.START_NOT_REPORTED) {
-            reachable = false;
-            returnWaiting(tracked -> true, nowNanos);
-            return 0;
+        reachable = false;
+        returnWaiting(tracked -> true, nowNanos);
+        if (present) {
+            stopAllRuns();
         }
-        return worker.startedAtMillis() == startedAtMillis ? workerExited(nowNanos) : 0;
     }
 
     /**
@@ -672,10 +677,10 @@
         }
     }
 
-    private int markRunsLost(long nowNanos) {
+    private int markRunsLost(Predicate<TrackedAssignment> which, long nowNanos) {
         int lostRuns = 0;
         for (TrackedAssignment tracked : List.copyOf(assignments.values())) {
-            if (tracked.occupiesWorker()) {
+            if (tracked.occupiesWorker() && which.test(tracked)) {
                 assignments.remove(tracked.assignment.task());
                 Duration runDuration = Duration.ofNanos(nowNanos - tracked.startedNanos);
                 addResult(tracked, RunOutcome.LOST, runDuration);
--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -22,7 +22,9 @@
  *
  * <p>All clocks may be slow by 2 %: (700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,100 ms. A paused agent makes no request
  * after the pause has begun, which is at most {@link #CONNECTION_CHECK_INTERVAL} after the end of the contact if it had
- * not noticed that yet, so that its lease ends earlier. {@link #REASSIGN_AFTER_LAST_MESSAGE} exceeds the sum.
+ * not noticed that yet, so that its lease ends earlier. A worker that has restarted may grant the longest lease instead,
+ * {@link #MAX_LEASE_DURATION}: (700 + 150 + 200 + 1,000) / 0.98 + 50 = 2,142 ms. {@link #REASSIGN_AFTER_LAST_MESSAGE}
+ * exceeds both sums.
  */
 public final class BestEffortTimings {
     /** Time between checks of the connections; four checks fit into the heartbeat timeout. */
@@ -64,7 +66,8 @@
      *
      * <p>The entry sent its last message at most {@link #HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS} and {@link
      * #CONNECTION_CHECK_INTERVAL} before it was lost, and confirmed no contact to an agent after that. From then on the
-     * sum for {@link #REASSIGN_AFTER_LAST_MESSAGE} holds: (350 + 700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,457 ms.
+     * sums for {@link #REASSIGN_AFTER_LAST_MESSAGE} hold: (350 + 700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,457 ms, and
+     * (350 + 700 + 150 + 200 + 1,000) / 0.98 + 50 = 2,499 ms.
      */
     public static final Duration TAKE_OVER_AFTER_LAST_MESSAGE = Duration.ofMillis(2500);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
--- a/src/main/java/org/gypsumflow/command/WorkerLease.java
+++ b/src/main/java/org/gypsumflow/command/WorkerLease.java
@@ -62,13 +62,14 @@
     }
 
     /**
-     * Applies a reading of the worker's clock that has just arrived; one that was delayed on its way is ignored.
+     * Applies a reading of the worker's clock that has just arrived; one that was delayed on its way is ignored while the
+     * present one is recent enough.
      *
      * @param workerMillis time of the worker's clock, in milliseconds, when it sent the reading
      * @param nowNanos current monotonic time
      */
     public void applyClockReading(long workerMillis, long nowNanos) {
-        if (clockKnown && workerMillis < lowestClockMillis(nowNanos)) {
+        if (canRequest(nowNanos) && workerMillis < lowestClockMillis(nowNanos)) {
             return;
         }
         clockKnown = true;
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -111,13 +111,10 @@
         executeActions();
     }
 
-    /**
-     * Records that a worker deregistered; its runs are lost if it is certainly the present incarnation of the worker.
-     * Otherwise the next renewal shows whether it still runs.
-     */
+    /** Records that a worker deregistered; the next renewal shows whether its process still runs. */
     void workerDeregistered(String worker, long startedAtMillis) {
         renewalDue = true;
-        logLostRuns(scheduler.workerDeregistered(worker, startedAtMillis, time.nanoTime()), "the worker deregistered");
+        scheduler.workerDeregistered(worker, startedAtMillis, time.nanoTime());
         executeActions();
     }
 
@@ -125,7 +122,13 @@
      * Executes the actions that the scheduler has decided on since the last call, then renews the lease if necessary.
      */
     void executeActions() {
-        scheduler.setStartsAllowed(!lease.isClockKnown() || mayExtendLease(time.nanoTime()), time.nanoTime());
+        applyDecisions();
+        renew();
+    }
+
+    private void applyDecisions() {
+        boolean firstListingDue = !lease.isClockKnown() && !unresponsive;
+        scheduler.setStartsAllowed(firstListingDue || mayExtendLease(time.nanoTime()), time.nanoTime());
         Actions actions = scheduler.drainActions();
         while (!actions.isEmpty()) {
             actions.finishedAssignments().forEach(resultListener);
@@ -134,7 +137,6 @@
             actions = scheduler.drainActions();
         }
         afterResults.run();
-        renew();
     }
 
     private void start(TaskRun run) {
@@ -145,17 +147,19 @@
         }
         long startedAtMillis = workerStartedAtMillis;
         long token = fencingToken;
+        long requestedNanos = time.nanoTime();
         executor.whenDone(
-                client.start(run.task(), run.number(), run.specification(), lease.request(time.nanoTime()), token),
-                (response, failure) ->
-                        runIfSameIncarnation(startedAtMillis, () -> startCompleted(run, token, response, failure)));
+                client.start(run.task(), run.number(), run.specification(), lease.request(requestedNanos), token),
+                (response, failure) -> runIfSameIncarnation(startedAtMillis, () -> {
+                    if (failure == null) {
+                        startCompleted(run, token, response);
+                    } else {
+                        startFailed(run, requestedNanos, failure);
+                    }
+                }));
     }
 
-    private void startCompleted(TaskRun run, long token, StartResponse response, Throwable failure) {
-        if (failure != null) {
-            startFailed(run, failure);
-            return;
-        }
+    private void startCompleted(TaskRun run, long token, StartResponse response) {
         responseReceived(response.clockMillis());
         switch (response.status()) {
             case STARTED -> scheduler.runStarted(run.task(), run.number(), time.nanoTime());
@@ -163,7 +167,7 @@
             case NO_ROOM, TOO_LATE -> scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             case REFUSED -> scheduler.startRejected(run.task(), run.number(), false, true, time.nanoTime());
             case FENCED -> {
-                fencingToken = Math.max(fencingToken, token + FENCING_TOKEN_STEP_MILLIS);
+                raiseFencingToken(token);
                 scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             }
         }
@@ -172,10 +176,10 @@
         }
     }
 
-    private void startFailed(TaskRun run, Throwable failure) {
+    private void startFailed(TaskRun run, long requestedNanos, Throwable failure) {
         if (provesWorkerEnded(failure)) {
-            events.write(Event.WORKER_UNRESPONSIVE, "a start", failure);
-            workerExited("a start could not connect");
+            scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
+            workerExited("a start", requestedNanos, failure);
             return;
         }
         callFailed("a start", failure);
@@ -184,21 +188,27 @@
 
     private void stop(TaskRun run) {
         long startedAtMillis = workerStartedAtMillis;
+        long token = fencingToken;
+        long requestedNanos = time.nanoTime();
         executor.whenDone(
-                client.stop(run.task(), run.number(), fencingToken),
-                (ignored, failure) -> runIfSameIncarnation(startedAtMillis, () -> stopCompleted(run, failure)));
+                client.stop(run.task(), run.number(), token),
+                (ignored, failure) -> runIfSameIncarnation(
+                        startedAtMillis, () -> stopCompleted(run, token, requestedNanos, failure)));
     }
 
-    private void stopCompleted(TaskRun run, Throwable failure) {
+    private void stopCompleted(TaskRun run, long token, long requestedNanos, Throwable failure) {
         if (failure == null) {
             scheduler.stopAcknowledged(run.task(), run.number(), time.nanoTime());
             return;
         }
+        if (isFenced(failure)) {
+            raiseFencingToken(token);
+        }
         if (provesWorkerEnded(failure)) {
-            workerExited("a stop could not connect");
-            return;
+            workerExited("a stop", requestedNanos, failure);
+        } else {
+            callFailed("a stop", failure);
         }
-        callFailed("a stop", failure);
         executor.schedule(RETRY_DELAY, () -> {
             if (scheduler.isStopping(run.task(), run.number())) {
                 stop(run);
@@ -227,32 +237,36 @@
         renewalDue = false;
         executor.whenDone(
                 client.renew(renewal),
-                (listing, failure) -> renewalCompleted(startedAtMillis, requestedNanos, listing, failure));
+                (listing, failure) -> renewalCompleted(startedAtMillis, renewal, requestedNanos, listing, failure));
     }
 
-    private void renewalCompleted(long startedAtMillis, long requestedNanos, TaskListing listing, Throwable failure) {
+    private void renewalCompleted(
+            long startedAtMillis, LeaseRenewal renewal, long requestedNanos, TaskListing listing, Throwable failure) {
         renewalPending = false;
-        if (startedAtMillis != workerStartedAtMillis
-                || (listing != null
-                        && listing.workerStartedAtMillis() != 0
-                        && listing.workerStartedAtMillis() != startedAtMillis)) {
+        if (startedAtMillis != workerStartedAtMillis) {
             executeActions();
-            return;
-        }
-        if (failure == null) {
+        } else if (failure != null) {
+            renewalFailed(renewal, requestedNanos, failure);
+        } else if (listing.workerStartedAtMillis() != 0 && listing.workerStartedAtMillis() != startedAtMillis) {
+            // A new incarnation, whose report is about to come.
+            executor.schedule(RETRY_DELAY, this::executeActions);
+        } else {
             applyListing(listing, requestedNanos);
             executeActions();
-            return;
+        }
+    }
+
+    private void renewalFailed(LeaseRenewal renewal, long requestedNanos, Throwable failure) {
+        if (isFenced(failure)) {
+            raiseFencingToken(renewal.fencingToken());
         }
         if (provesWorkerEnded(failure)) {
-            events.write(Event.WORKER_UNRESPONSIVE, "a renewal", failure);
-            workerExited("a renewal could not connect");
-            unresponsive = false;
-            executeActions();
-            return;
+            workerExited("a renewal", requestedNanos, failure);
+        } else {
+            callFailed("a renewal", failure);
+            renewalDue = true;
         }
-        callFailed("a renewal", failure);
-        renewalDue = true;
+        applyDecisions();
         executor.schedule(RETRY_DELAY, this::executeActions);
     }
 
@@ -283,8 +297,19 @@
         logLostRuns(scheduler.reconcile(listed, requestedNanos, now), "the worker does not list them");
     }
 
-    private void workerExited(String evidence) {
-        logLostRuns(scheduler.workerExited(time.nanoTime()), evidence);
+    /**
+     * Records that the worker refused the connection for a call. While runs are left that it has not confirmed before, it
+     * counts as unresponsive, so that they are resolved by their own calls, a new incarnation, or the end of the lease.
+     */
+    private void workerExited(String call, long requestedNanos, Throwable failure) {
+        int lostRuns = scheduler.workerExited(requestedNanos, time.nanoTime());
+        logLostRuns(lostRuns, call + " was refused, no process listens");
+        if (scheduler.activeRunCount() > 0) {
+            callFailed(call, failure);
+        } else {
+            events.write(Event.WORKER_UNRESPONSIVE, call, failure);
+            unresponsive = false;
+        }
     }
 
     private void logLostRuns(int runs, String evidence) {
@@ -344,7 +369,7 @@
      * as the worker has accepted a later call, it rejects this one.
      */
     private void callFailed(String call, Throwable failure) {
-        fencingToken += isFenced(failure) ? FENCING_TOKEN_STEP_MILLIS : 1;
+        fencingToken++;
         if (!unresponsive) {
             unresponsive = true;
             events.write(Event.WORKER_UNRESPONSIVE, call, failure);
@@ -352,6 +377,13 @@
         }
     }
 
+    /** Raises the fencing token above that of a rejected call, unless it has risen since the call was sent. */
+    private void raiseFencingToken(long rejectedToken) {
+        if (fencingToken == rejectedToken) {
+            fencingToken += FENCING_TOKEN_STEP_MILLIS;
+        }
+    }
+
     private static boolean isFenced(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof WorkerClient.FencedException;
--- a/src/test/java/org/gypsumflow/command/WorkerLeaseTest.java
+++ b/src/test/java/org/gypsumflow/command/WorkerLeaseTest.java
@@ -63,4 +63,13 @@
     public void noLeaseIsRequestedBeforeTheClockIsRead() {
         assertFalse(WorkerLease.none().canRequest(0));
     }
+
+    // Guards against an agent that starts nothing any more at a worker whose clock is slower than the platform allows.
+    @Test
+    public void aReadingBehindTheSlowestClockIsTakenOnceTheLastOneIsTooOld() {
+        WorkerLease lease = leaseOfAWorkerWhoseClockReadsZeroAtTimeZero();
+        lease.applyClockReading(9000, millis(10_001));
+        assertTrue(lease.canRequest(millis(10_001)));
+        assertEquals(lease.request(millis(10_001)), 9000 + BestEffortTimings.LEASE_DURATION.toMillis());
+    }
 }
