Close the connection of a chunked body beyond the limit

What callers saw: 413 with "Connection: close" on a connection that stayed open for ever.

Cause: with Grizzly's same-thread strategy nothing more of a request is read once the first callback has run. If the limit was exceeded before the end of the body had arrived, the request never ended, and Grizzly closes only after its end. Ruled out: a callback that is not called (it was, with 4,200,000 bytes), and a response that is not written (it was). A further registration, inside the callback or 5 ms later from another thread, reads nothing more either; with worker threads it does, but these would change the threads of all traffic.

Change: the output is shut down after the response, and the connection closed a second later, so that the response is not discarded by a reset while the client still sends.

--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,7 @@
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.gypsumflow.model.ErrorCode;
@@ -45,6 +47,8 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int SHUTDOWN_TIMEOUT_SECONDS = 2;
+    /** Time for a client to read the response on a connection that is closed while it is still sending. */
+    private static final int LINGER_SECONDS = 1;
 
     /**
      * A request as a handler sees it.
@@ -341,10 +345,19 @@
             this.response = response;
         }
 
-        /** Called when a body without a declared length has exceeded the limit. */
+        /**
+         * Called when a body without a declared length has exceeded the limit.
+         *
+         * <p>Grizzly reads nothing more of it, and so would keep the connection open for ever. Closing it immediately could
+         * discard the response on its way, because the client may still be sending.
+         */
         @Override
-        public void onDataAvailable() {
-            writeAndResume(response, errorResponse(bodyTooLarge()).withHeader("Connection", "close"));
+        public void onDataAvailable() throws IOException {
+            write(response, errorResponse(bodyTooLarge()).withHeader("Connection", "close"));
+            response.getOutputStream().flush();
+            NIOConnection connection = (NIOConnection) request.getContext().getConnection();
+            ((SocketChannel) connection.getChannel()).shutdownOutput();
+            CompletableFuture.delayedExecutor(LINGER_SECONDS, TimeUnit.SECONDS).execute(connection::closeSilently);
         }
 
         @Override
--- a/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
+++ b/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -81,22 +82,58 @@
                 .startsWith("HTTP/1.1 413"));
     }
 
+    // Guards against a connection that stays open although its response said otherwise: the limit was exceeded before
+    // the end of the body arrived.
+    @Test(timeOut = 60_000)
+    public void aBodyInChunksBeyondTheLimitIsRejectedAndItsConnectionClosedBeforeItsEndArrives() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            sendChunks(socket.getOutputStream(), GrizzlyHttpServer.MAX_BODY_BYTES / CHUNK_BYTES + 1);
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.startsWith("HTTP/1.1 413"));
+            assertTrue(answer.contains("Connection: close"));
+        }
+    }
+
+    // Guards against a connection of which only one direction is closed, and which a client can keep for ever.
+    @Test(timeOut = 60_000)
+    public void theConnectionOfABodyBeyondTheLimitIsClosedInBothDirections() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            OutputStream output = socket.getOutputStream();
+            sendChunks(output, GrizzlyHttpServer.MAX_BODY_BYTES / CHUNK_BYTES + 1);
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    output.write(new byte[CHUNK_BYTES]);
+                }
+            });
+        }
+    }
+
     private String answerToChunks(int chunks) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout((int) TIMEOUT.toMillis());
             OutputStream output = socket.getOutputStream();
-            output.write("POST /length HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    .getBytes(StandardCharsets.UTF_8));
-            String head = Integer.toHexString(CHUNK_BYTES) + "\r\n";
-            for (int chunk = 0; chunk < chunks; chunk++) {
-                output.write(head.getBytes(StandardCharsets.UTF_8));
-                output.write(new byte[CHUNK_BYTES]);
-                output.write("\r\n".getBytes(StandardCharsets.UTF_8));
-            }
-            output.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
-            output.flush();
+            sendChunks(output, chunks);
+            endChunks(output);
             byte[] answer = socket.getInputStream().readAllBytes();
             return new String(answer, StandardCharsets.UTF_8);
         }
     }
+
+    private static void sendChunks(OutputStream output, int chunks) throws IOException {
+        output.write("POST /length HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                .getBytes(StandardCharsets.UTF_8));
+        String head = Integer.toHexString(CHUNK_BYTES) + "\r\n";
+        for (int chunk = 0; chunk < chunks; chunk++) {
+            output.write(head.getBytes(StandardCharsets.UTF_8));
+            output.write(new byte[CHUNK_BYTES]);
+            output.write("\r\n".getBytes(StandardCharsets.UTF_8));
+        }
+        output.flush();
+    }
+
+    private static void endChunks(OutputStream output) throws IOException {
+        output.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        output.flush();
+    }
 }
