Ignore an introduction on a connection that has ended since

Cause: an introduction waits for the control thread. If that thread was held up for longer than the heartbeat timeout, the check before it in the queue ended the connection, and the introduction then entered the ended connection as that of the member. No timeout and no end could remove it, and no other connection to the member was opened: it counted as connected for ever, and jobs that it owns were waited for in vain.

Ruled out: the other callers of connectionEnded; they run on the same thread and find the state that they remove.

Change: an introduction whose connection has no state any more is ignored. The new test fails without it by construction; it was first run together with the change.

--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -294,6 +294,9 @@
     }
 
     private void introductionReceived(Connection connection, ConnectionState state, Introduce introduce) {
+        if (states.get(connection) != state) {
+            return;
+        }
         Member member = introduce.member();
         Connection previous = connectionByName.put(member.name(), connection);
         if (connection.equals(previous)) {
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.control;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.ConnectException;
 import java.time.Duration;
@@ -326,6 +327,17 @@
     // introduction was still waiting for the control thread.
     @Test
     public void aJobMessageThatFollowsTheIntroductionCloselyIsPassedOnAfterIt() {
+        BusyExecutor busyExecutor = createManagerOnABusyThread();
+        RecordingConnection connection = new RecordingConnection();
+        ShareJobs announcement = new ShareJobs(List.of(JobId.of("00000000000000aa")));
+        connectionManager.messageReceived(connection, new Introduce(AGENT, Incarnation.random()));
+        connectionManager.messageReceived(connection, announcement);
+        busyExecutor.runWaiting();
+        assertEquals(notifications, List.of("connected"));
+        assertEquals(jobMessages, List.of(announcement));
+    }
+
+    private BusyExecutor createManagerOnABusyThread() {
         BusyExecutor busyExecutor = new BusyExecutor();
         connectionManager = ConnectionManager.create(
                 SELF,
@@ -335,12 +347,19 @@
                 (member, listener) -> connect(),
                 new RecordingListener(),
                 (event, details) -> {});
+        return busyExecutor;
+    }
+
+    // Guards against a member that counts as connected for ever: its connection had ended before its introduction was
+    // handled, so that neither a timeout nor the end of the connection was noticed.
+    @Test
+    public void anIntroductionOnAConnectionThatHasEndedSinceIsIgnored() {
+        BusyExecutor busyExecutor = createManagerOnABusyThread();
         RecordingConnection connection = new RecordingConnection();
-        ShareJobs announcement = new ShareJobs(List.of(JobId.of("00000000000000aa")));
+        connectionManager.connectionClosed(connection);
         connectionManager.messageReceived(connection, new Introduce(AGENT, Incarnation.random()));
-        connectionManager.messageReceived(connection, announcement);
         busyExecutor.runWaiting();
-        assertEquals(notifications, List.of("connected"));
-        assertEquals(jobMessages, List.of(announcement));
+        assertEquals(notifications, List.of());
+        assertTrue(connectionManager.connections().isEmpty());
     }
 }
