Pass messages between separated entries through an agent

An entry that was separated from another one since before that accepted a job could not learn that the job had an owner, and started it when its caller sent it again.

Cause: entries told each other their jobs only over direct connections. Whoever was not connected counted as lost, although it lived and its agents were shared. Ruled out: late announcements (there was no connection at all), and the agents (each entry's runs were tracked and stopped as they should be).

Change: agents tell entries which other entries they are in contact with, and relay messages about jobs between them. An entry uses a direct connection or else the first such agent (PeerPaths), and tells its unended jobs and asks again for what it waits for whenever a path opens. The end of each path counts like the loss of the peer, which may have restarted.

--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -7,6 +7,9 @@
 
 /** A message about best-effort jobs, between an entry and an agent or between two entries. */
 public sealed interface BestEffortMessage extends Message {
+    /** A message between two entries; an agent carries it if they are not connected to each other. */
+    sealed interface PeerMessage extends BestEffortMessage {}
+
     /**
      * Introduces the sender; the first message on a connection, in both directions.
      *
@@ -191,7 +194,7 @@
      *
      * @param acceptedJobs ids of the jobs that were accepted since the last message
      */
-    record ShareJobs(List<JobId> acceptedJobs) implements BestEffortMessage {
+    record ShareJobs(List<JobId> acceptedJobs) implements PeerMessage {
         /** Makes an unmodifiable copy of the list. */
         public ShareJobs {
             acceptedJobs = List.copyOf(acceptedJobs);
@@ -205,7 +208,7 @@
      * @param job id of the job
      * @param cancelled true if the caller cancelled the job, false if the sender is going to run it again
      */
-    record AbandonJob(JobId job, boolean cancelled) implements BestEffortMessage {}
+    record AbandonJob(JobId job, boolean cancelled) implements PeerMessage {}
 
     /**
      * Confirms that the sender has abandoned a job and that no run of its tasks is left: for each one its agent has
@@ -214,5 +217,28 @@
      * @param job id of the job
      * @param wasActive true if the job was active when the request to abandon it came
      */
-    record JobAbandoned(JobId job, boolean wasActive) implements BestEffortMessage {}
+    record JobAbandoned(JobId job, boolean wasActive) implements PeerMessage {}
+
+    /**
+     * Informs an entry which other entries the agent that sends this is in contact with, so that they can reach each
+     * other through it.
+     *
+     * @param gained entries that are in contact from now on
+     * @param lost entries that are not any more; one that restarted is first lost, then gained
+     */
+    record ContactsChanged(List<MemberName> gained, List<MemberName> lost) implements BestEffortMessage {
+        /** Makes unmodifiable copies of the lists. */
+        public ContactsChanged {
+            gained = List.copyOf(gained);
+            lost = List.copyOf(lost);
+        }
+    }
+
+    /**
+     * Carries a message between two entries that are not connected to each other, through an agent.
+     *
+     * @param entry the receiver on the way to the agent, the sender on the way from it
+     * @param message the message
+     */
+    record Relay(MemberName entry, PeerMessage message) implements BestEffortMessage {}
 }
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -95,6 +95,10 @@
     MEMBER_CONNECTED(607, Level.INFO, "connected to {} {} in zone {}, incarnation {}"),
     /** The connection to another member was closed. */
     MEMBER_LOST(608, Level.WARN, "connection to {} {} closed: {}"),
+    /** Messages to an entry that is not connected go through an agent. */
+    PEER_RELAYED(622, Level.INFO, "messages to entry {} go through agent {}"),
+    /** An entry cannot be reached in any way. */
+    PEER_UNREACHABLE(623, Level.WARN, "entry {} is not connected, and no agent here is in contact with it"),
     /** The platform's store does not respond. */
     STORE_UNREACHABLE(609, Level.WARN, "the platform's store did not respond to {}: {}"),
     /** The platform's store responds again. */
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import org.gypsumflow.command.AgentScheduler;
@@ -20,6 +21,9 @@
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.PeerMessage;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
@@ -60,7 +64,12 @@
 
         /** Returns whether a heartbeat was confirmed, and the newest one was sent at the given time or later. */
         private boolean isConfirmedSince(long nanos) {
-            return confirmedSentNanos.isPresent() && confirmedSentNanos.getAsLong() - nanos >= 0;
+            return wasConfirmed() && confirmedSentNanos.getAsLong() - nanos >= 0;
+        }
+
+        /** Returns whether the entry ever received a heartbeat on this connection; it has no tasks here before. */
+        private boolean wasConfirmed() {
+            return confirmedSentNanos.isPresent();
         }
 
         /** Returns the time at which the loss of this entry was due to be noticed, at the latest the current time. */
@@ -202,7 +211,7 @@
             workerSession.workerReported(report);
             workerSession.executeActions();
             entries.forEach((name, entry) -> {
-                if (entry.confirmedSentNanos.isPresent()) {
+                if (entry.wasConfirmed()) {
                     sendReport(entry, List.of(), statusFor(name, entry));
                 }
             });
@@ -243,18 +252,52 @@
                 return;
             }
             boolean hadContact = hasConfirmedContact(entry);
+            boolean isNew = !entry.wasConfirmed();
             entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
             if (!hadContact && hasConfirmedContact(entry)) {
                 sendReport(entry, List.of(), statusFor(member, entry));
             }
+            if (isNew) {
+                announceNewContact(member, entry);
+            }
         });
     }
 
     @Override
     public void memberDisconnected(Member member, long lastMessageNanos) {
-        executor.execute(() -> {
-            stopTasksOf(member.name(), entries.remove(member.name()), "connection lost");
-        });
+        executor.execute(() -> removeEntry(member.name(), "connection lost"));
+    }
+
+    private void removeEntry(MemberName name, String reason) {
+        ConnectedEntry entry = entries.remove(name);
+        if (entry != null && entry.wasConfirmed()) {
+            ContactsChanged change = new ContactsChanged(List.of(), List.of(name));
+            contactsBeside(name).values().forEach(other -> other.connection.send(change));
+        }
+        stopTasksOf(name, entry, reason);
+    }
+
+    /** Tells an entry that has just come into contact and the others in contact of each other. */
+    private void announceNewContact(MemberName name, ConnectedEntry entry) {
+        Map<MemberName, ConnectedEntry> others = contactsBeside(name);
+        entry.connection.send(new ContactsChanged(List.copyOf(others.keySet()), List.of()));
+        ContactsChanged change = new ContactsChanged(List.of(name), List.of());
+        others.values().forEach(other -> other.connection.send(change));
+    }
+
+    private Map<MemberName, ConnectedEntry> contactsBeside(MemberName name) {
+        Map<MemberName, ConnectedEntry> contacts = new TreeMap<>(entries);
+        contacts.remove(name);
+        contacts.values().removeIf(entry -> !entry.wasConfirmed());
+        return contacts;
+    }
+
+    /** Passes a message of one entry on to another; the sender learns of a lost contact, and sends it on another way. */
+    private void relay(MemberName from, MemberName to, PeerMessage message) {
+        ConnectedEntry receiver = entries.get(to);
+        if (receiver != null && receiver.wasConfirmed()) {
+            receiver.connection.send(new Relay(from, message));
+        }
     }
 
     private void stopTasksOf(MemberName name, ConnectedEntry entry, String reason) {
@@ -275,13 +318,12 @@
     /** Drops those of the entries that ever confirmed contact; the others have no tasks here. */
     private void dropEntries(Predicate<ConnectedEntry> which) {
         List<MemberName> dropped = entries.entrySet().stream()
-                .filter(entry -> entry.getValue().confirmedSentNanos.isPresent() && which.test(entry.getValue()))
+                .filter(entry -> entry.getValue().wasConfirmed() && which.test(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
         dropped.forEach(name -> {
-            ConnectedEntry entry = entries.remove(name);
-            entry.connection.close();
-            stopTasksOf(name, entry, "no confirmed contact");
+            entries.get(name).connection.close();
+            removeEntry(name, "no confirmed contact");
         });
     }
 
@@ -293,6 +335,8 @@
                 assign(from, request.assignments(), now);
             } else if (message instanceof StopTasks stop) {
                 scheduler.stop(from, stop.job(), stop.indexes(), now);
+            } else if (message instanceof Relay relay) {
+                relay(from, relay.entry(), relay.message());
             }
             workerSession.executeActions();
         });
@@ -410,7 +454,7 @@
     }
 
     private void reportIfChanged(MemberName name, ConnectedEntry entry) {
-        if (entry.confirmedSentNanos.isEmpty()) {
+        if (!entry.wasConfirmed()) {
             return;
         }
         WorkerStatus status = statusFor(name, entry);
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -24,7 +24,10 @@
 import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.PeerMessage;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
@@ -36,6 +39,7 @@
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.traffic.JobHandovers.Submission;
+import org.gypsumflow.traffic.PeerPaths.PeerPath;
 
 /**
  * Accepts best-effort jobs from callers, assigns their tasks to agents, and completes the jobs with their outcomes.
@@ -51,7 +55,7 @@
     private final EventLog events;
     private final RoutingStateCache routingState;
     private final Map<MemberName, Connection> agents = new HashMap<>();
-    private final Map<MemberName, Connection> peers = new HashMap<>();
+    private final PeerPaths peers;
     private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final JobHandovers handovers;
@@ -78,6 +82,7 @@
         this.observer = observer;
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
+        this.peers = new PeerPaths(time, this::peerPathOpened, handovers::peerPathClosed, events);
         this.dispatcher = JobDispatcher.create(
                 capacityTracker,
                 placementPolicy,
@@ -189,22 +194,14 @@
             startJob(submission);
             return;
         }
-        ShareJobs share = new ShareJobs(List.of(job));
-        peers.forEach((name, connection) -> {
-            if (!name.equals(owner.get())) {
-                connection.send(share);
-            }
-        });
+        peers.sendToOthers(owner.get(), new ShareJobs(List.of(job)));
         handovers.begin(submission, owner.get());
     }
 
     private boolean requestAbandonment(MemberName owner, JobId job) {
-        Connection connection = peers.get(owner);
-        if (connection == null) {
-            return false;
-        }
-        connection.send(new AbandonJob(job, false));
-        return true;
+        Optional<PeerPath> path = peers.pathTo(owner);
+        path.ifPresent(open -> open.send(new AbandonJob(job, false)));
+        return path.isPresent();
     }
 
     private void handoverCompleted(JobId job, MemberName owner, long requestedNanos, List<Submission> submissions) {
@@ -238,19 +235,19 @@
     }
 
     /** Informs a peer that may have restarted, and so knows no jobs of others. */
-    private void announceUnendedJobs(Connection peer) {
+    private void peerPathOpened(MemberName peer, PeerPath path) {
         List<JobId> jobs = dispatcher.unendedJobs();
         if (!jobs.isEmpty()) {
-            peer.send(new ShareJobs(jobs));
+            path.send(new ShareJobs(jobs));
         }
+        handovers.peerPathOpened(peer);
     }
 
     private void announceAcceptedJobs() {
         if (unannouncedJobs.isEmpty()) {
             return;
         }
-        ShareJobs share = new ShareJobs(unannouncedJobs);
-        peers.values().forEach(connection -> connection.send(share));
+        peers.sendToAll(new ShareJobs(unannouncedJobs));
         unannouncedJobs.clear();
     }
 
@@ -264,7 +261,7 @@
         CompletableFuture<Boolean> wasActive = new CompletableFuture<>();
         executor.execute(() -> {
             boolean ownedByPeer = jobOwners.ownerOf(job, time.nanoTime()).isPresent();
-            peers.values().forEach(connection -> connection.send(new AbandonJob(job, true)));
+            peers.sendToAll(new AbandonJob(job, true));
             boolean wasKnownHere = cancelHere(job);
             wasActive.complete(wasKnownHere || ownedByPeer);
         });
@@ -304,10 +301,9 @@
             if (member.role() == Member.Role.AGENT) {
                 agents.put(member.name(), connection);
                 connectedAgentCount = agents.size();
+                peers.agentConnected(member.name(), connection);
             } else {
-                peers.put(member.name(), connection);
-                announceUnendedJobs(connection);
-                handovers.peerConnected(member.name());
+                peers.peerConnected(member.name(), connection);
             }
         });
         if (routingState.current().table().isKnown()) {
@@ -319,13 +315,15 @@
     public void memberDisconnected(Member member, long lastMessageNanos) {
         executor.execute(() -> {
             detectPause();
+            if (member.role() == Member.Role.ENTRY) {
+                peers.peerDisconnected(member.name(), lastMessageNanos);
+                return;
+            }
             if (agents.remove(member.name()) != null) {
+                connectedAgentCount = agents.size();
                 dispatcher.agentDisconnected(
                         member.name(), lastMessageNanos + BestEffortTimings.REASSIGN_AFTER_LAST_MESSAGE.toNanos());
-            }
-            connectedAgentCount = agents.size();
-            if (peers.remove(member.name()) != null) {
-                handovers.peerDisconnected(member.name(), lastMessageNanos);
+                peers.agentDisconnected(member.name());
             }
         });
     }
@@ -341,16 +339,30 @@
             if (message instanceof AgentReport report && agents.containsKey(from)) {
                 dispatcher.agentReported(from, report, time.nanoTime());
                 completeDrainIfIdle();
-            } else if (message instanceof AbandonJob request) {
-                abandon(from, request);
-            } else if (message instanceof JobAbandoned abandoned) {
-                handovers.replyReceived(from, abandoned.job());
-            } else if (message instanceof ShareJobs share) {
-                share.acceptedJobs().forEach(job -> jobOwners.recordAccepted(from, job, time.nanoTime()));
+            } else if (message instanceof ContactsChanged change) {
+                peers.contactsChanged(from, change);
+            } else if (message instanceof Relay relay) {
+                peerMessageReceived(relay.entry(), relay.message(), peers.pathThrough(from, relay.entry()));
+            } else if (message instanceof PeerMessage peerMessage) {
+                peerMessageReceived(from, peerMessage, peers.pathTo(from));
             }
         });
     }
 
+    private void peerMessageReceived(MemberName from, PeerMessage message, Optional<PeerPath> replyPath) {
+        if (message instanceof AbandonJob request) {
+            abandon(from, request, replyPath);
+        } else if (message instanceof JobAbandoned abandoned) {
+            handovers.replyReceived(from, abandoned.job());
+        } else if (message instanceof ShareJobs share) {
+            recordOwner(from, share.acceptedJobs());
+        }
+    }
+
+    private void recordOwner(MemberName owner, List<JobId> jobs) {
+        jobs.forEach(job -> jobOwners.recordAccepted(owner, job, time.nanoTime()));
+    }
+
     @Override
     public void routingStateReceived(MemberName from, ShareRoutingState received) {
         if (routingState.update(received, "host " + from)) {
@@ -372,7 +384,7 @@
         }
     }
 
-    private void abandon(MemberName from, AbandonJob request) {
+    private void abandon(MemberName from, AbandonJob request, Optional<PeerPath> replyPath) {
         JobId job = request.job();
         if (request.cancelled()) {
             cancelHere(job);
@@ -381,11 +393,9 @@
         boolean wasActive = dispatcher.abandon(job);
         handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
         jobOwners.recordAccepted(from, job, time.nanoTime());
-        Connection peer = peers.get(from);
-        if (peer != null) {
-            JobAbandoned reply = new JobAbandoned(job, wasActive);
-            handovers.whenCompleted(job, from, () -> dispatcher.whenEnded(job, () -> peer.send(reply)));
-        }
+        JobAbandoned reply = new JobAbandoned(job, wasActive);
+        replyPath.ifPresent(
+                path -> handovers.whenCompleted(job, from, () -> dispatcher.whenEnded(job, () -> path.send(reply))));
     }
 
     private boolean cancelHere(JobId job) {
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -43,7 +43,7 @@
     /** Asks the owner of a job to abandon it. */
     @FunctionalInterface
     interface OwnerClient {
-        /** Sends the request; returns false if the owner is not connected. */
+        /** Sends the request; returns false if no path leads to the owner. */
         boolean requestAbandonment(MemberName owner, JobId job);
     }
 
@@ -135,8 +135,8 @@
         }
     }
 
-    /** Asks a peer again for the jobs that it owns: its reply tells what became of them. */
-    void peerConnected(MemberName peer) {
+    /** Asks a peer again for the jobs that it owns, on the path that has opened: its reply tells what became of them. */
+    void peerPathOpened(MemberName peer) {
         for (Handover handover : List.copyOf(handovers.values())) {
             if (handover.owner.equals(peer)) {
                 handover.awaitsReply = ownerClient.requestAbandonment(peer, handover.job);
@@ -145,7 +145,8 @@
     }
 
     /**
-     * Records that a peer is lost: no reply will come, and its agents stop its tasks.
+     * Records that the path to a peer is lost: no reply will come on it, and if the peer has ended, its agents stop its
+     * tasks.
      *
      * <p>A silence that is longer than its detection takes was a pause of this process, which proves nothing about the
      * peer. Then only the time that the detection takes is taken off.
@@ -153,7 +154,7 @@
      * @param peer the peer
      * @param lastMessageNanos monotonic time of its last message
      */
-    void peerDisconnected(MemberName peer, long lastMessageNanos) {
+    void peerPathClosed(MemberName peer, long lastMessageNanos) {
         long silenceNanos = Math.min(time.nanoTime() - lastMessageNanos, MAX_DETECTION_TIME.toNanos());
         long takeOverNanos = time.nanoTime() - silenceNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
         takeOverNanosByLostPeer.put(peer, takeOverNanos);
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -11,9 +11,12 @@
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ClosedZones;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
+import org.gypsumflow.model.BestEffortMessage.PeerMessage;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
@@ -90,6 +93,14 @@
             envelope.setJobGivenUp(org.gypsumflow.wire.generated.JobGivenUp.newBuilder()
                     .setJob(encode(abandoned.job()))
                     .setWasUnderWay(abandoned.wasActive()));
+        } else if (message instanceof ContactsChanged contacts) {
+            envelope.setContactsChanged(org.gypsumflow.wire.generated.ContactsChanged.newBuilder()
+                    .addAllGained(encodeNames(contacts.gained()))
+                    .addAllLost(encodeNames(contacts.lost())));
+        } else if (message instanceof Relay relay) {
+            envelope.setRelay(org.gypsumflow.wire.generated.Relay.newBuilder()
+                    .setEntry(relay.entry().value())
+                    .setContent(encode(relay.message())));
         }
         return envelope.build();
     }
@@ -120,11 +131,34 @@
                 new JobAbandoned(
                         decodeJob(envelope.getJobGivenUp().getJob()),
                         envelope.getJobGivenUp().getWasUnderWay());
+            case CONTACTS_CHANGED ->
+                new ContactsChanged(
+                        decodeNames(envelope.getContactsChanged().getGainedList()),
+                        decodeNames(envelope.getContactsChanged().getLostList()));
+            case RELAY -> decode(envelope.getRelay());
             default ->
                 throw new IllegalArgumentException("the envelope does not contain a message about best-effort jobs");
         };
     }
 
+    private static Relay decode(org.gypsumflow.wire.generated.Relay relay) {
+        // Only the types listed here, so that a relayed message cannot contain another one.
+        switch (relay.getContent().getMessageCase()) {
+            case SHARE_JOBS, GIVE_UP_JOB, JOB_GIVEN_UP -> {
+                return new Relay(MemberName.of(relay.getEntry()), (PeerMessage) decode(relay.getContent()));
+            }
+            default -> throw new IllegalArgumentException("the relayed message is not one between two entries");
+        }
+    }
+
+    private static List<String> encodeNames(List<MemberName> names) {
+        return names.stream().map(MemberName::value).toList();
+    }
+
+    private static List<MemberName> decodeNames(List<String> names) {
+        return names.stream().map(MemberName::of).toList();
+    }
+
     private static MemberHeartbeat decode(NodeHeartbeat heartbeat) {
         return new MemberHeartbeat(
                 heartbeat.getSentAtNanos(),
--- a/src/main/java/org/gypsumflow/wire/MessageCodec.java
+++ b/src/main/java/org/gypsumflow/wire/MessageCodec.java
@@ -54,7 +54,9 @@
                     SHARE_STATE,
                     SHARE_JOBS,
                     GIVE_UP_JOB,
-                    JOB_GIVEN_UP -> BestEffortCodec.decode(envelope);
+                    JOB_GIVEN_UP,
+                    CONTACTS_CHANGED,
+                    RELAY -> BestEffortCodec.decode(envelope);
             case MESSAGE_NOT_SET ->
                 throw new IllegalArgumentException("the envelope contains no message of a known type");
             default -> CommandCodec.decode(envelope);
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -14,8 +14,11 @@
 import org.gypsumflow.control.ManualExecutor;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
@@ -40,6 +43,7 @@
 import org.testng.annotations.Test;
 
 public final class BestEffortAgentTest {
+    private static final MemberName ANOTHER_ENTRY = MemberName.of("another-entry");
     private static final MemberName ENTRY = MemberName.of("entry");
     private static final AvailabilityZone ZONE = AvailabilityZone.of("sofia");
     private static final Member ENTRY_MEMBER = new Member(ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 1);
@@ -452,4 +456,69 @@
                 .anyMatch(message -> message instanceof AgentReport report
                         && report.workerStatus().acceptsTasks()));
     }
+
+    private RecordingConnection connectAnotherEntry(MemberName name) {
+        RecordingConnection another = RecordingConnection.create();
+        agent.memberConnected(new Member(name, Member.Role.ENTRY, ZONE, "127.0.0.1", 2), another);
+        return another;
+    }
+
+    private static <T> List<T> sentTo(RecordingConnection connection, Class<T> kind) {
+        return connection.sent().stream()
+                .filter(kind::isInstance)
+                .map(kind::cast)
+                .toList();
+    }
+
+    @Test
+    public void entriesInContactAreToldOfEachOther() {
+        entry.sent().clear();
+        RecordingConnection another = connectAnotherEntry(ANOTHER_ENTRY);
+        assertTrue(sentTo(entry, ContactsChanged.class).isEmpty());
+        agent.contactConfirmed(ANOTHER_ENTRY, executor.timeSource().nanoTime());
+        assertEquals(sentTo(another, ContactsChanged.class), List.of(new ContactsChanged(List.of(ENTRY), List.of())));
+        assertEquals(
+                sentTo(entry, ContactsChanged.class), List.of(new ContactsChanged(List.of(ANOTHER_ENTRY), List.of())));
+    }
+
+    @Test
+    public void anEntryIsToldWhenAnotherOneIsNotInContactAnyMore() {
+        connectAnotherEntry(ANOTHER_ENTRY);
+        agent.contactConfirmed(ANOTHER_ENTRY, executor.timeSource().nanoTime());
+        entry.sent().clear();
+        executor.advance(BestEffortTimings.CONFIRMED_CONTACT_LIMIT
+                .plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL)
+                .toMillis());
+        assertEquals(
+                sentTo(entry, ContactsChanged.class), List.of(new ContactsChanged(List.of(), List.of(ANOTHER_ENTRY))));
+    }
+
+    @Test
+    public void aMessageBetweenTwoEntriesInContactIsPassedOnWithTheNameOfItsSender() {
+        RecordingConnection another = connectAnotherEntry(ANOTHER_ENTRY);
+        Relay message = new Relay(ANOTHER_ENTRY, new AbandonJob(OTHER_JOB, false));
+        agent.jobMessageReceived(ENTRY, message);
+        assertTrue(sentTo(another, Relay.class).isEmpty());
+        agent.contactConfirmed(ANOTHER_ENTRY, executor.timeSource().nanoTime());
+        agent.jobMessageReceived(ENTRY, message);
+        assertEquals(sentTo(another, Relay.class), List.of(new Relay(ENTRY, new AbandonJob(OTHER_JOB, false))));
+    }
+
+    // Guards against a reply that is awaited for ever: the entry it was expected from had restarted unnoticed.
+    @Test
+    public void anEntryThatConnectsAgainIsFirstLostThenGained() {
+        connectAnotherEntry(ANOTHER_ENTRY);
+        agent.contactConfirmed(ANOTHER_ENTRY, executor.timeSource().nanoTime());
+        entry.sent().clear();
+        agent.memberDisconnected(
+                new Member(ANOTHER_ENTRY, Member.Role.ENTRY, ZONE, "127.0.0.1", 2),
+                executor.timeSource().nanoTime());
+        connectAnotherEntry(ANOTHER_ENTRY);
+        agent.contactConfirmed(ANOTHER_ENTRY, executor.timeSource().nanoTime());
+        assertEquals(
+                sentTo(entry, ContactsChanged.class),
+                List.of(
+                        new ContactsChanged(List.of(), List.of(ANOTHER_ENTRY)),
+                        new ContactsChanged(List.of(ANOTHER_ENTRY), List.of())));
+    }
 }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -17,7 +17,10 @@
 import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.PeerMessage;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
@@ -55,6 +58,13 @@
         executor = new ManualExecutor();
         agent = RecordingConnection.create();
         peer = RecordingConnection.create();
+        startEntry();
+        connectAgent();
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        peer.sent().clear();
+    }
+
+    private void startEntry() {
         entry = BestEffortEntry.create(
                 executor,
                 executor.timeSource(),
@@ -63,8 +73,10 @@
                 (event, details) -> {},
                 JobObserver.none());
         entry.start();
+    }
+
+    private void connectAgent() {
         entry.memberConnected(member(AGENT, Member.Role.AGENT), agent);
-        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
         entry.jobMessageReceived(AGENT, new AgentReport(List.of(), freeWorkerStatus()));
     }
 
@@ -93,6 +105,13 @@
         entry.jobMessageReceived(AGENT, new AgentReport(List.of(result), freeWorkerStatus()));
     }
 
+    private RecordingConnection connectOtherPeer() {
+        RecordingConnection otherPeer = RecordingConnection.create();
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        otherPeer.sent().clear();
+        return otherPeer;
+    }
+
     private void disconnect(MemberName name, Member.Role role) {
         entry.memberDisconnected(member(name, role), executor.timeSource().nanoTime());
     }
@@ -309,8 +328,7 @@
     // Guards against a second start beside that of an entry which accepted the job during the handover.
     @Test
     public void anEntryThatAcceptedTheJobDuringTheHandoverIsAskedToAbandonItAsWell() {
-        RecordingConnection otherPeer = RecordingConnection.create();
-        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        RecordingConnection otherPeer = connectOtherPeer();
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
         submit(JOB);
         executor.advance(1);
@@ -339,8 +357,7 @@
     // Guards against a second start by a third entry while the owner's runs have not ended.
     @Test
     public void aThirdEntryThatAsksDuringTheHandoverGetsAReplyOnlyAfterTheOwnerReplied() {
-        RecordingConnection otherPeer = RecordingConnection.create();
-        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        RecordingConnection otherPeer = connectOtherPeer();
         entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
         CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
         assertEquals(otherPeer.sent(), List.of(new ShareJobs(List.of(JOB))));
@@ -412,4 +429,109 @@
         executor.advance(200);
         assertEquals(assignments().size(), 1);
     }
+
+    private void connectPeer() {
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+    }
+
+    private void loseTheConnectionToAPeerThatTheAgentIsInContactWith() {
+        entry.jobMessageReceived(AGENT, new ContactsChanged(List.of(PEER), List.of()));
+        disconnect(PEER, Member.Role.ENTRY);
+    }
+
+    private List<PeerMessage> relayedToPeer() {
+        return sentTo(agent, Relay.class).stream()
+                .filter(relay -> relay.entry().equals(PEER))
+                .map(Relay::message)
+                .toList();
+    }
+
+    // Guards against two runs of one task: an entry could not learn that a job had an owner, from which it was
+    // separated since before the owner accepted it.
+    @Test
+    public void anEntryLearnsTheOwnerOfAJobThroughAnAgentWhenItIsNotConnectedToTheOwner() {
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        entry.jobMessageReceived(AGENT, new Relay(PEER, new ShareJobs(List.of(JOB))));
+        submit(JOB);
+        assertTrue(relayedToPeer().contains(new AbandonJob(JOB, false)));
+        executor.advance(3000);
+        assertTrue(assignments().isEmpty());
+        entry.jobMessageReceived(AGENT, new Relay(PEER, new JobAbandoned(JOB, true)));
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void anOwnerRepliesThroughTheAgentThatRelayedTheRequest() {
+        entry.jobMessageReceived(AGENT, new Relay(PEER, new AbandonJob(JOB, false)));
+        assertEquals(relayedToPeer(), List.of(new JobAbandoned(JOB, false)));
+        assertTrue(peer.sent().isEmpty());
+    }
+
+    @Test
+    public void acceptedJobsAreAnnouncedThroughAnAgentToAPeerThatIsNotConnected() {
+        submit(JOB);
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        assertTrue(relayedToPeer().contains(new ShareJobs(List.of(JOB))));
+        submit("00000000000000b2", new CompletableFuture<>());
+        executor.advance(150);
+        assertTrue(relayedToPeer().contains(new ShareJobs(List.of(JOB, JobId.of("00000000000000b2")))));
+    }
+
+    // Guards against a second start while the runs of an owner that the last agent lost have not been stopped.
+    @Test
+    public void aJobWhoseOwnerIsLostByTheLastAgentStartsOnlyAfterItsRunsHaveEnded() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        submit(JOB);
+        executor.advance(300);
+        entry.jobMessageReceived(AGENT, new ContactsChanged(List.of(), List.of(PEER)));
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    // Guards against two runs of one task: the reply of a restarted owner was taken for that of its former incarnation,
+    // because an agent was still in contact with that when the connection ended.
+    @Test
+    public void theReplyOfARestartedOwnerProvesNothingWhenAnAgentWasStillInContactWithItsFormerIncarnation() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        connectPeer();
+        submit(JOB);
+        entry.jobMessageReceived(PEER, new JobAbandoned(JOB, false));
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 1);
+        assertTrue(assignments().isEmpty());
+        executor.advance(5);
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void anOwnerIsAskedAgainThroughAnotherAgentWhenTheFirstOneLosesIt() {
+        MemberName otherAgentName = MemberName.of("other-agent");
+        RecordingConnection otherAgent = RecordingConnection.create();
+        entry.memberConnected(member(otherAgentName, Member.Role.AGENT), otherAgent);
+        entry.jobMessageReceived(otherAgentName, new ContactsChanged(List.of(PEER), List.of()));
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        submit(JOB);
+        entry.jobMessageReceived(AGENT, new ContactsChanged(List.of(), List.of(PEER)));
+        assertTrue(otherAgent.sent().contains(new Relay(PEER, new AbandonJob(JOB, false))));
+        disconnect(otherAgentName, Member.Role.AGENT);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() + 1);
+        assertEquals(assignments().size(), 1);
+    }
+
+    @Test
+    public void aDirectConnectionIsPreferredToAnAgent() {
+        loseTheConnectionToAPeerThatTheAgentIsInContactWith();
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        agent.sent().clear();
+        entry.jobMessageReceived(AGENT, new ContactsChanged(List.of(), List.of(PEER)));
+        entry.jobMessageReceived(AGENT, new ContactsChanged(List.of(PEER), List.of()));
+        submit(JOB);
+        executor.advance(150);
+        assertTrue(relayedToPeer().isEmpty());
+        assertTrue(peer.sent().contains(new ShareJobs(List.of(JOB))));
+    }
 }
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -17,9 +17,11 @@
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ClosedZones;
+import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
+import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
@@ -39,6 +41,7 @@
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.ValidationException;
+import org.gypsumflow.wire.generated.Envelope;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -87,6 +90,11 @@
         return new Object[][] {
             {new Introduce(MEMBER, Incarnation.of("life-1"))},
             {MemberHeartbeat.withoutEcho(7)},
+            {new ContactsChanged(List.of(MEMBER.name()), List.of(MemberName.of("a"), MemberName.of("b")))},
+            {new ContactsChanged(List.of(), List.of())},
+            {new Relay(MEMBER.name(), new ShareJobs(List.of(JOB)))},
+            {new Relay(MEMBER.name(), new AbandonJob(JOB, false))},
+            {new Relay(MEMBER.name(), new JobAbandoned(JOB, true))},
             {new MemberHeartbeat(7, OptionalLong.of(0))},
             {new MemberHeartbeat(-7, OptionalLong.of(-9))},
             {
@@ -119,6 +127,25 @@
         assertEquals(MessageCodec.decode(MessageCodec.encode(message)), message);
     }
 
+    @DataProvider
+    public Object[][] messagesThatAreNotRelayed() {
+        return new Object[][] {
+            {new StopTasks(JOB, List.of(1))},
+            {MemberHeartbeat.withoutEcho(7)},
+            {new Relay(MEMBER.name(), new AbandonJob(JOB, false))},
+        };
+    }
+
+    @Test(dataProvider = "messagesThatAreNotRelayed")
+    public void aRelayedMessageThatIsNotOneBetweenEntriesIsRejected(BestEffortMessage message) {
+        Envelope envelope = Envelope.newBuilder()
+                .setRelay(org.gypsumflow.wire.generated.Relay.newBuilder()
+                        .setEntry("entry")
+                        .setContent(MessageCodec.encode(message)))
+                .build();
+        assertThrows(IllegalArgumentException.class, () -> MessageCodec.decode(envelope));
+    }
+
     @Test
     public void theSpecificationOfAJobWithSeveralTasksIsSentOnce() {
         String specification = "x".repeat(1000);
