Hold jobs back at an entry that does not know the jobs of its peers

What callers could see: two runs of one task.

Cause: such an entry knows nothing of the jobs that its peers accepted while it was away, and started what arrived before the first news.

Change: JobBarrier. New jobs wait until each peer has answered the question for its jobs, asked after the start or the pause, or for 2,500 ms; then they are told to the peers and start 100 ms later. Questions and answers are extra fields of ShareJobs, so that an older entry reads them as such. A store that is not read ends no wait; without it there are no agents either.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -68,6 +68,9 @@
      * #CONNECTION_CHECK_INTERVAL} before it was lost, and confirmed no contact to an agent after that. From then on the
      * sums for {@link #REASSIGN_AFTER_LAST_MESSAGE} hold: (350 + 700 + 150 + 200 + 900) / 0.98 + 60 + 50 = 2,457 ms, and
      * (350 + 700 + 150 + 200 + 1,000) / 0.98 + 50 = 2,499 ms.
+     *
+     * <p>An entry that does not know the jobs of its peers starts none for as long, since a peer that does not answer may
+     * have ended.
      */
     public static final Duration TAKE_OVER_AFTER_LAST_MESSAGE = Duration.ofMillis(2500);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
--- a/src/main/java/org/gypsumflow/control/MemberDiscovery.java
+++ b/src/main/java/org/gypsumflow/control/MemberDiscovery.java
@@ -1,6 +1,10 @@
 package org.gypsumflow.control;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.gypsumflow.log.CompactedLog;
 import org.gypsumflow.log.CompactedLog.KeyedRecord;
@@ -9,6 +13,7 @@
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Member;
+import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.ValidationException;
 
 /** Registers a process in the platform's store and connects it to the members that it discovers there. */
@@ -82,19 +87,32 @@
         });
     }
 
-    /** Starts to consume the members' addresses and to connect to those that this process has to connect to. */
-    public void watchMembers() {
-        CompactedLogConsumer.create(store, TOPIC, controlExecutor, this::apply, this::apply, events)
+    /**
+     * Starts to consume the members' addresses and to connect to those that this process has to connect to.
+     *
+     * @param peersListener receives the names of the other entries each time that all addresses were read, on the control
+     *     thread
+     */
+    public void watchMembers(Consumer<Set<MemberName>> peersListener) {
+        CompactedLogConsumer.create(
+                        store, TOPIC, controlExecutor, page -> peersListener.accept(apply(page)), this::apply, events)
                 .start();
     }
 
-    private void apply(Page page) {
-        page.records().forEach(this::apply);
+    /** Connects to the members of a page, and returns those that are other entries. */
+    private Set<MemberName> apply(Page page) {
+        Set<MemberName> peers = new HashSet<>();
+        page.records().forEach(record -> apply(record)
+                .filter(member ->
+                        member.role() == Member.Role.ENTRY && !member.name().equals(self.name()))
+                .ifPresent(peer -> peers.add(peer.name())));
+        return peers;
     }
 
-    private void apply(KeyedRecord record) {
+    /** Returns the member, or empty if its address was deleted or is malformed. */
+    private Optional<Member> apply(KeyedRecord record) {
         if (record.value().length == 0) {
-            return;
+            return Optional.empty();
         }
         try {
             Member member = decoder.apply(record.value());
@@ -105,8 +123,10 @@
             if (isInitiatedHere(member)) {
                 connectionManager.maintainConnection(member);
             }
+            return Optional.of(member);
         } catch (ValidationException malformed) {
             events.write(Event.MESSAGE_UNREADABLE, "the address of " + record.key(), malformed.getMessage());
+            return Optional.empty();
         }
     }
 
--- a/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
@@ -1,9 +1,11 @@
 package org.gypsumflow.daemon;
 
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.HttpClient;
+import org.gypsumflow.model.MemberName;
 import org.gypsumflow.platform.HttpWorkerClient;
 import org.gypsumflow.platform.WorkerReportResource;
 import org.gypsumflow.traffic.BestEffortAgent;
@@ -50,4 +52,7 @@
     boolean watchesStore() {
         return false;
     }
+
+    @Override
+    void peersDiscovered(Set<MemberName> peers) {}
 }
--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.Member;
+import org.gypsumflow.model.MemberName;
 import org.gypsumflow.platform.HttpCompactedLog;
 import org.gypsumflow.wire.MemberCodec;
 import org.gypsumflow.wire.NettyTransport;
@@ -88,6 +90,9 @@
     /** Returns whether the process discovers the other members in the store, rather than only registering itself. */
     abstract boolean watchesStore();
 
+    /** Receives the names of the other entries in the store; called only if the process discovers them. */
+    abstract void peersDiscovered(Set<MemberName> peers);
+
     BestEffortSettings settings() {
         return settings;
     }
@@ -181,7 +186,7 @@
                 self, store, controlExecutor, connectionManager, MemberCodec::encode, MemberCodec::decode, events);
         memberDiscovery.registerSelf();
         if (watchesStore()) {
-            memberDiscovery.watchMembers();
+            memberDiscovery.watchMembers(this::peersDiscovered);
         }
         startServing();
         settings.metricsAddress().ifPresent(address -> httpServer.bind(address, this::scrape));
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -1,12 +1,14 @@
 package org.gypsumflow.daemon;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.control.CompactedLogConsumer;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.GrizzlyHttpServer;
+import org.gypsumflow.model.MemberName;
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
 import org.gypsumflow.platform.ReadinessResource;
@@ -90,6 +92,11 @@
         return true;
     }
 
+    @Override
+    void peersDiscovered(Set<MemberName> peers) {
+        entry.peersDiscovered(peers);
+    }
+
     private boolean isReady() {
         return !draining && routingState().current().table().isKnown() && entry.hasConnectedAgents();
     }
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -219,6 +219,26 @@
      */
     record JobAbandoned(JobId job, boolean wasActive) implements PeerMessage {}
 
+    /**
+     * Asks a peer for all its jobs that have not ended; it replies with {@link JobList}.
+     *
+     * @param number tells this question from earlier ones, whose replies may still be on their way
+     */
+    record RequestJobs(long number) implements PeerMessage {}
+
+    /**
+     * Tells a peer all jobs of the sender that have not ended.
+     *
+     * @param number number of the question
+     * @param jobs ids of the active jobs and of those with an outcome whose runs may not have ended
+     */
+    record JobList(long number, List<JobId> jobs) implements PeerMessage {
+        /** Makes an unmodifiable copy of the list. */
+        public JobList {
+            jobs = List.copyOf(jobs);
+        }
+    }
+
     /**
      * Informs an entry which other entries the agent that sends this is in contact with, so that they can reach each
      * other through it.
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -99,6 +99,8 @@
     PEER_RELAYED(622, Level.INFO, "messages to entry {} go through agent {}"),
     /** An entry cannot be reached in any way. */
     PEER_UNREACHABLE(623, Level.WARN, "entry {} is not connected, and no agent here is in contact with it"),
+    /** An entry that has just started, or was paused, knows the jobs of its peers. */
+    JOBS_RELEASED(624, Level.INFO, "starts new jobs from now on: {}; {} requests waited for that"),
     /** The platform's store does not respond. */
     STORE_UNREACHABLE(609, Level.WARN, "the platform's store did not respond to {}: {}"),
     /** The platform's store responds again. */
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
@@ -26,8 +27,10 @@
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.PeerMessage;
 import org.gypsumflow.model.BestEffortMessage.Relay;
+import org.gypsumflow.model.BestEffortMessage.RequestJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
@@ -56,6 +59,7 @@
     private final RoutingStateCache routingState;
     private final Map<MemberName, Connection> agents = new HashMap<>();
     private final PeerPaths peers;
+    private final JobBarrier barrier;
     private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final JobHandovers handovers;
@@ -80,6 +84,7 @@
         this.routingState = routingState;
         this.pauseDetector = PauseDetector.create(time);
         this.observer = observer;
+        this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
         this.peers = new PeerPaths(time, this::peerPathOpened, handovers::peerPathClosed, events);
@@ -117,6 +122,7 @@
         pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             detectPause();
+            releaseJobsIfPeersAreKnown();
             handovers.tick();
             dispatcher.tick(time.nanoTime());
             announceAcceptedJobs();
@@ -125,6 +131,40 @@
         });
     }
 
+    /**
+     * Sets the other entries in the store. A job that arrives waits until they have told their jobs.
+     *
+     * @param entries names of the other entries; ignored except in the first call
+     */
+    public void peersDiscovered(Set<MemberName> entries) {
+        executor.execute(() -> {
+            barrier.peersDiscovered(entries, time.nanoTime());
+            releaseJobsIfPeersAreKnown();
+        });
+    }
+
+    private void releaseJobsIfPeersAreKnown() {
+        if (barrier.takeDownIfDue(time.nanoTime())) {
+            String reason = barrier.describe();
+            List<JobId> jobs = handovers.heldBackJobs().stream()
+                    .filter(job -> jobOwners.ownerOf(job, time.nanoTime()).isEmpty())
+                    .toList();
+            if (jobs.isEmpty()) {
+                release(reason);
+                return;
+            }
+            peers.sendToAll(new ShareJobs(jobs));
+            executor.schedule(BestEffortTimings.REPORT_INTERVAL, () -> release(reason));
+        }
+    }
+
+    /** Starts the jobs that were held back, unless a peer told meanwhile that it is about to start them as well. */
+    private void release(String reason) {
+        List<Submission> submissions = handovers.releaseHeldBack();
+        events.write(Event.JOBS_RELEASED, reason, submissions.size());
+        submissions.forEach(this::accept);
+    }
+
     /** Stops the periodic work; active jobs are left alone. */
     public void stop() {
         executor.execute(() -> stopped = true);
@@ -162,7 +202,8 @@
     }
 
     /**
-     * Accepts a job, or rejects it while this entry is draining. If a peer owns the job, the peer abandons it first.
+     * Accepts a job, or rejects it while this entry is draining. If a peer owns the job, the peer abandons it first. If
+     * this entry has just started or was paused, the job waits until the peers have told which jobs they own.
      *
      * @param job the job
      * @param remainingTime how long the caller waits
@@ -190,6 +231,10 @@
         }
         JobId job = submission.job().id();
         Optional<MemberName> owner = jobOwners.ownerOf(job, time.nanoTime());
+        if (owner.isEmpty() && barrier.isUp()) {
+            handovers.holdBack(submission);
+            return;
+        }
         if (owner.isEmpty()) {
             startJob(submission);
             return;
@@ -234,12 +279,13 @@
                 .thenRun(() -> executor.execute(() -> dispatcher.removeWaiter(job, submission.callback())));
     }
 
-    /** Informs a peer that may have restarted, and so knows no jobs of others. */
+    /** Exchanges the jobs with a peer: either side may have restarted, and the peer may not know of this path. */
     private void peerPathOpened(MemberName peer, PeerPath path) {
         List<JobId> jobs = dispatcher.unendedJobs();
         if (!jobs.isEmpty()) {
             path.send(new ShareJobs(jobs));
         }
+        path.send(new RequestJobs(barrier.questionNumber()));
         handovers.peerPathOpened(peer);
     }
 
@@ -269,14 +315,14 @@
     }
 
     /**
-     * Returns whether a job is active at this entry.
+     * Returns whether a job is active at this entry, or waits here until it may start.
      *
      * @param job id of the job
      * @return true if this entry has accepted the job and it has no outcome yet
      */
     public CompletableFuture<Boolean> isActive(JobId job) {
         CompletableFuture<Boolean> active = new CompletableFuture<>();
-        executor.execute(() -> active.complete(dispatcher.isActive(job)));
+        executor.execute(() -> active.complete(dispatcher.isActive(job) || handovers.isAwaited(job)));
         return active;
     }
 
@@ -356,6 +402,12 @@
             handovers.replyReceived(from, abandoned.job());
         } else if (message instanceof ShareJobs share) {
             recordOwner(from, share.acceptedJobs());
+        } else if (message instanceof RequestJobs request) {
+            replyPath.ifPresent(path -> path.send(new JobList(request.number(), dispatcher.unendedJobs())));
+        } else if (message instanceof JobList list) {
+            recordOwner(from, list.jobs());
+            barrier.jobsTold(from, list.number());
+            releaseJobsIfPeersAreKnown();
         }
     }
 
@@ -414,7 +466,12 @@
 
     private void detectPause() {
         Optional<Duration> pause = pauseDetector.detect();
-        if (pause.isPresent() && activeJobCount() > 0) {
+        if (pause.isEmpty()) {
+            return;
+        }
+        barrier.raise(peers.reachablePeers(), time.nanoTime());
+        peers.sendToAll(new RequestJobs(barrier.questionNumber()));
+        if (activeJobCount() > 0) {
             events.write(Event.PROCESS_PAUSED, pause.get().toMillis());
             abandonAllJobs("this host was paused for " + pause.get().toMillis() + " ms");
         }
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -18,8 +19,9 @@
 import org.gypsumflow.model.MemberName;
 
 /**
- * Jobs that callers sent to this entry while a peer owns them. They wait for the proof that none of their runs is left:
- * the owner's reply, or, if the owner is lost, the time after which its agents have stopped its tasks.
+ * Jobs that callers sent to this entry while a peer owns them, or may own them. They wait for the proof that none of
+ * their runs is left: the owner's reply, or, if the owner is lost, the time after which its agents have stopped its
+ * tasks. Jobs that arrive before this entry knows those of its peers are held back until it does.
  *
  * <p>A handover stays pending until then, even if no caller waits for it any more, so that each request to an owner has
  * one reply. Confined to one executor.
@@ -63,19 +65,23 @@
 
     private static final class Handover {
         private final JobId job;
-        private final MemberName owner;
+        private final Optional<MemberName> owner;
         private final long requestedNanos;
         private final List<Submission> submissions = new ArrayList<>();
         private final List<Runnable> completionActions = new ArrayList<>();
         private boolean awaitsReply;
         private long notBeforeNanos;
 
-        private Handover(JobId job, MemberName owner, long requestedNanos, long notBeforeNanos) {
+        private Handover(JobId job, Optional<MemberName> owner, long requestedNanos, long notBeforeNanos) {
             this.job = job;
             this.owner = owner;
             this.requestedNanos = requestedNanos;
             this.notBeforeNanos = notBeforeNanos;
         }
+
+        private boolean isOwnedBy(MemberName peer) {
+            return owner.filter(peer::equals).isPresent();
+        }
     }
 
     private final SerialExecutor executor;
@@ -110,6 +116,41 @@
         return true;
     }
 
+    /** Holds a job back until {@link #releaseHeldBack}, as its owner, if there is one, is not known yet. */
+    void holdBack(Submission submission) {
+        JobId job = submission.job().id();
+        Handover handover = new Handover(job, Optional.empty(), time.nanoTime(), time.nanoTime());
+        handovers.put(job, handover);
+        handover.submissions.add(submission);
+        giveUpWhereTimeCannotSuffice(handover);
+    }
+
+    /** Returns the jobs that are held back. */
+    List<JobId> heldBackJobs() {
+        return handovers.values().stream()
+                .filter(handover -> handover.owner.isEmpty())
+                .map(handover -> handover.job)
+                .toList();
+    }
+
+    /** Returns whether a submission waits for a job. */
+    boolean isAwaited(JobId job) {
+        return handovers.containsKey(job) && !handovers.get(job).submissions.isEmpty();
+    }
+
+    /** Removes the jobs that were held back, and returns those of their submissions that still wait. */
+    List<Submission> releaseHeldBack() {
+        List<Submission> released = new ArrayList<>();
+        for (Handover handover : List.copyOf(handovers.values())) {
+            if (handover.owner.isEmpty()) {
+                giveUpWhereTimeCannotSuffice(handover);
+                handovers.remove(handover.job);
+                released.addAll(handover.submissions);
+            }
+        }
+        return released;
+    }
+
     /** Starts the handover of a job from its owner, which may have been lost before. */
     void begin(Submission submission, MemberName owner) {
         JobId job = submission.job().id();
@@ -117,8 +158,8 @@
         boolean asked = ownerClient.requestAbandonment(owner, job);
         // An owner whose connection is not known here yet or any more may be running the job.
         long defaultNanos = asked ? nowNanos : nowNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
-        Handover handover =
-                new Handover(job, owner, nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, defaultNanos));
+        Handover handover = new Handover(
+                job, Optional.of(owner), nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, defaultNanos));
         handovers.put(job, handover);
         handover.submissions.add(submission);
         handover.awaitsReply = asked;
@@ -129,7 +170,7 @@
     /** Records the reply of an entry that was asked to abandon a job; ignored unless it is the owner. */
     void replyReceived(MemberName from, JobId job) {
         Handover handover = handovers.get(job);
-        if (handover != null && handover.owner.equals(from)) {
+        if (handover != null && handover.isOwnedBy(from)) {
             handover.awaitsReply = false;
             completeIfProven(handover);
         }
@@ -138,7 +179,7 @@
     /** Asks a peer again for the jobs that it owns, on the path that has opened: its reply tells what became of them. */
     void peerPathOpened(MemberName peer) {
         for (Handover handover : List.copyOf(handovers.values())) {
-            if (handover.owner.equals(peer)) {
+            if (handover.isOwnedBy(peer)) {
                 handover.awaitsReply = ownerClient.requestAbandonment(peer, handover.job);
             }
         }
@@ -159,7 +200,7 @@
         long takeOverNanos = time.nanoTime() - silenceNanos + BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toNanos();
         takeOverNanosByLostPeer.put(peer, takeOverNanos);
         for (Handover handover : List.copyOf(handovers.values())) {
-            if (handover.owner.equals(peer)) {
+            if (handover.isOwnedBy(peer)) {
                 handover.awaitsReply = false;
                 handover.notBeforeNanos = takeOverNanos;
                 giveUpWhereTimeCannotSuffice(handover);
@@ -170,11 +211,12 @@
 
     /**
      * Runs an action when the pending handover of a job has completed, since only then none of its runs is left; at
-     * once if there is none, or if the entry that asks is its owner, which would otherwise wait for itself.
+     * once if there is none, if the job is only held back, or if the entry that asks is its owner, which would otherwise wait
+     * for itself.
      */
     void whenCompleted(JobId job, MemberName asking, Runnable action) {
         Handover handover = handovers.get(job);
-        if (handover == null || handover.owner.equals(asking)) {
+        if (handover == null || handover.owner.isEmpty() || handover.isOwnedBy(asking)) {
             action.run();
         } else {
             handover.completionActions.add(action);
@@ -232,7 +274,7 @@
     }
 
     private void completeIfProven(Handover handover) {
-        if (handover.awaitsReply || handovers.get(handover.job) != handover) {
+        if (handover.owner.isEmpty() || handover.awaitsReply || handovers.get(handover.job) != handover) {
             return;
         }
         long waitNanos = handover.notBeforeNanos - time.nanoTime();
@@ -242,6 +284,7 @@
         }
         handovers.remove(handover.job);
         handover.completionActions.forEach(Runnable::run);
-        listener.completed(handover.job, handover.owner, handover.requestedNanos, List.copyOf(handover.submissions));
+        listener.completed(
+                handover.job, handover.owner.get(), handover.requestedNanos, List.copyOf(handover.submissions));
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/PeerPaths.java
+++ b/src/main/java/org/gypsumflow/traffic/PeerPaths.java
@@ -122,6 +122,11 @@
         return agents.containsKey(agent) ? Optional.of(through(agent, peer).path()) : Optional.empty();
     }
 
+    /** Returns the peers that a path leads to. */
+    Set<MemberName> reachablePeers() {
+        return Set.copyOf(paths.keySet());
+    }
+
     /** Sends a message to all peers but one. */
     void sendToOthers(MemberName excluded, PeerMessage message) {
         paths.forEach((peer, path) -> {
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.NetUtil;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -14,9 +15,11 @@
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
 import org.gypsumflow.model.BestEffortMessage.PeerMessage;
 import org.gypsumflow.model.BestEffortMessage.Relay;
+import org.gypsumflow.model.BestEffortMessage.RequestJobs;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
@@ -81,10 +84,7 @@
         } else if (message instanceof ShareRoutingState share) {
             envelope.setShareState(encode(share));
         } else if (message instanceof ShareJobs share) {
-            envelope.setShareJobs(org.gypsumflow.wire.generated.ShareJobs.newBuilder()
-                    .addAllTaken(share.acceptedJobs().stream()
-                            .map(BestEffortCodec::encode)
-                            .toList()));
+            envelope.setShareJobs(encode(share.acceptedJobs()));
         } else if (message instanceof AbandonJob abandon) {
             envelope.setGiveUpJob(org.gypsumflow.wire.generated.GiveUpJob.newBuilder()
                     .setJob(encode(abandon.job()))
@@ -93,6 +93,10 @@
             envelope.setJobGivenUp(org.gypsumflow.wire.generated.JobGivenUp.newBuilder()
                     .setJob(encode(abandoned.job()))
                     .setWasUnderWay(abandoned.wasActive()));
+        } else if (message instanceof RequestJobs request) {
+            envelope.setShareJobs(encode(List.of()).setQuestion(request.number()));
+        } else if (message instanceof JobList list) {
+            envelope.setShareJobs(encode(list.jobs()).setAnswer(list.number()));
         } else if (message instanceof ContactsChanged contacts) {
             envelope.setContactsChanged(org.gypsumflow.wire.generated.ContactsChanged.newBuilder()
                     .addAllGained(encodeNames(contacts.gained()))
@@ -119,10 +123,7 @@
                         envelope.getStopOrders().getIndexesList());
             case AGENT_REPORT -> decode(envelope.getAgentReport());
             case SHARE_STATE -> decode(envelope.getShareState());
-            case SHARE_JOBS ->
-                new ShareJobs(envelope.getShareJobs().getTakenList().stream()
-                        .map(BestEffortCodec::decodeJob)
-                        .toList());
+            case SHARE_JOBS -> decode(envelope.getShareJobs());
             case GIVE_UP_JOB ->
                 new AbandonJob(
                         decodeJob(envelope.getGiveUpJob().getJob()),
@@ -151,6 +152,21 @@
         }
     }
 
+    private static org.gypsumflow.wire.generated.ShareJobs.Builder encode(Collection<JobId> jobs) {
+        return org.gypsumflow.wire.generated.ShareJobs.newBuilder()
+                .addAllTaken(jobs.stream().map(BestEffortCodec::encode).toList());
+    }
+
+    /** Questions and answers have no type of their own, so that a program of an older version reads them as well. */
+    private static BestEffortMessage decode(org.gypsumflow.wire.generated.ShareJobs share) {
+        List<JobId> jobs =
+                share.getTakenList().stream().map(BestEffortCodec::decodeJob).toList();
+        if (share.hasQuestion()) {
+            return new RequestJobs(share.getQuestion());
+        }
+        return share.hasAnswer() ? new JobList(share.getAnswer(), jobs) : new ShareJobs(jobs);
+    }
+
     private static List<String> encodeNames(List<MemberName> names) {
         return names.stream().map(MemberName::value).toList();
     }
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -20,8 +20,10 @@
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
+import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
 import org.gypsumflow.model.BestEffortMessage.Relay;
+import org.gypsumflow.model.BestEffortMessage.RequestJobs;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
@@ -93,6 +95,10 @@
             {new ContactsChanged(List.of(MEMBER.name()), List.of(MemberName.of("a"), MemberName.of("b")))},
             {new ContactsChanged(List.of(), List.of())},
             {new Relay(MEMBER.name(), new ShareJobs(List.of(JOB)))},
+            {new RequestJobs(-7)},
+            {new JobList(9, List.of(JOB))},
+            {new Relay(MEMBER.name(), new RequestJobs(7))},
+            {new Relay(MEMBER.name(), new JobList(7, List.of()))},
             {new Relay(MEMBER.name(), new AbandonJob(JOB, false))},
             {new Relay(MEMBER.name(), new JobAbandoned(JOB, true))},
             {new MemberHeartbeat(7, OptionalLong.of(0))},
