--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -192,7 +192,8 @@
     /**
      * Informs a peer which jobs the sender has accepted, so that a job resubmitted to the peer does not run twice.
      *
-     * @param acceptedJobs ids of the jobs that were accepted since the last message
+     * @param acceptedJobs ids of the jobs that were accepted since the last message, or, when a path to the peer has
+     *     opened, of all that have not ended
      */
     record ShareJobs(List<JobId> acceptedJobs) implements PeerMessage {
         /** Makes an unmodifiable copy of the list. */
--- a/src/main/java/org/gypsumflow/traffic/PeerPaths.java
+++ b/src/main/java/org/gypsumflow/traffic/PeerPaths.java
@@ -34,7 +34,10 @@
     /** Receives the end of a path to a peer, before the next one is opened: the peer may have restarted since. */
     @FunctionalInterface
     interface ClosingListener {
-        /** Called with the monotonic time in nanoseconds before which the peer was certainly heard of on the path. */
+        /**
+         * Called with the monotonic time in nanoseconds of the peer's last message on a direct connection, or at which
+         * the agent's loss of the peer, or the loss of the agent, was noticed.
+         */
         void closed(MemberName peer, long lastMessageNanos);
     }
 
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -484,7 +484,7 @@
     // Guards against two runs of one task: a list of jobs from before the question did not contain a job accepted
     // since.
     @Test
-    public void anAnswerToAnEarlierQuestionAndANewsOfAcceptedJobsEndNoHold() {
+    public void neitherAnAnswerToAnEarlierQuestionNorNewsOfAcceptedJobsReleasesAJob() {
         restartEntry();
         submit(JOB);
         connectPeer();
