--- a/src/main/java/org/gypsumflow/http/HttpPlatformLog.java
+++ b/src/main/java/org/gypsumflow/http/HttpPlatformLog.java
@@ -43,9 +43,7 @@
     public CompletableFuture<AppendResult> append(StreamName stream, byte[] body) {
         return client.post(baseUrl + "/streams/" + stream, Map.of(), body, timeout)
                 .thenApply(HttpPlatformLog::parseJson)
-                .thenApply(json -> new AppendResult(
-                        json.path("offset").asLong(),
-                        json.path("loggedAtMillis").asLong()));
+                .thenApply(json -> new AppendResult(number(json, "offset"), number(json, "loggedAtMillis")));
     }
 
     @Override
@@ -72,14 +70,29 @@
         try {
             for (JsonNode record : json.path("records")) {
                 entries.add(new LogRecord<>(
-                        record.path("offset").asLong(),
-                        record.path("loggedAtMillis").asLong(),
-                        record.path("body").binaryValue()));
+                        number(record, "offset"),
+                        number(record, "loggedAtMillis"),
+                        requiredBody(record).binaryValue()));
             }
         } catch (IOException malformed) {
             throw new UncheckedIOException(malformed);
         }
-        return new Page<>(
-                json.path("firstOffset").asLong(), json.path("headOffset").asLong(), entries);
+        return new Page<>(number(json, "firstOffset"), number(json, "headOffset"), entries);
+    }
+
+    private static JsonNode requiredBody(JsonNode record) {
+        JsonNode body = record.path("body");
+        if (!body.isTextual()) {
+            throw new IllegalStateException("a record of the platform's log has no body in Base64");
+        }
+        return body;
+    }
+
+    private static long number(JsonNode json, String name) {
+        JsonNode value = json.path(name);
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw new IllegalStateException("\"" + name + "\" of the platform's log is not an integer of 64 bits");
+        }
+        return value.longValue();
     }
 }
