Skip a record that cannot be decoded at every reader of a stream

Callers saw: with one odd record of another writer in the claim, members or operations stream, every entry stopped following that stream for good: the read of the whole page failed, each time.

Cause: the page was decoded in one go. Now the record is left out of the page with one line (GF613, counted like every event), and each reader goes on behind it, also if it is the last one of the stream. All processes skip the same records, so that they still agree on the winner of a claim. A port that nothing can listen on makes an announcement such a record.

--- a/src/main/java/org/gypsumflow/bench/ControlCost.java
+++ b/src/main/java/org/gypsumflow/bench/ControlCost.java
@@ -134,9 +134,9 @@
         EntryDependencies dependencies = new EntryDependencies(
                 time,
                 new Random(),
-                LogStreams.operations(platformLog),
-                LogStreams.members(platformLog),
-                stream -> LogStreams.claims(platformLog, stream),
+                LogStreams.operations(platformLog, EventLog.none()),
+                LogStreams.members(platformLog, EventLog.none()),
+                stream -> LogStreams.claims(platformLog, stream, EventLog.none()),
                 transport::connect,
                 WorkerSelectionPolicy.powerOfTwoChoices(),
                 EventLog.none(),
@@ -151,7 +151,7 @@
     private AtMostOnceAgent startAgent(int index, SingleThreadExecutor executor, NettyTransport transport) {
         AgentDependencies dependencies = new AgentDependencies(
                 time,
-                LogStreams.members(platformLog),
+                LogStreams.members(platformLog, EventLog.none()),
                 (address, listener) -> transport
                         .connect(address, new CountingListener(listener))
                         .thenApply(this::countingConnection),
--- a/src/main/java/org/gypsumflow/command/ClaimTable.java
+++ b/src/main/java/org/gypsumflow/command/ClaimTable.java
@@ -91,12 +91,13 @@
     }
 
     /**
-     * Skips records that the log has deleted; they are older than the table's retention, so no claim is missed.
+     * Skips records that cannot be decoded, which every reader skips, or that the log has deleted; deleted records are
+     * older than the table's retention, so no claim is missed.
      *
-     * @param firstOffset oldest offset that the log retains
+     * @param offset offset of the next record to read; ignored if it is before {@link #nextOffset}
      */
-    public void skipTruncated(long firstOffset) {
-        nextOffset = Math.max(nextOffset, firstOffset);
+    public void skipTo(long offset) {
+        nextOffset = Math.max(nextOffset, offset);
     }
 
     private void applyRecord(ClaimRecord claimRecord) {
--- a/src/main/java/org/gypsumflow/command/Membership.java
+++ b/src/main/java/org/gypsumflow/command/Membership.java
@@ -70,6 +70,15 @@
                 .removeIf(announced -> announced.announcedAtMillis() + expiryMillis < latestLoggedAtMillis);
     }
 
+    /**
+     * Skips records that cannot be decoded.
+     *
+     * @param offset offset of the next record to read; ignored if it is before {@link #nextOffset}
+     */
+    public void skipTo(long offset) {
+        nextOffset = Math.max(nextOffset, offset);
+    }
+
     /**
      * Adds an entry that a peer reported to be in service; an announcement in the log replaces it.
      *
--- a/src/main/java/org/gypsumflow/command/OperationsProjection.java
+++ b/src/main/java/org/gypsumflow/command/OperationsProjection.java
@@ -71,6 +71,15 @@
         nextOffset = firstOffset;
     }
 
+    /**
+     * Skips records that cannot be decoded; every reader skips them, so they leave no gap.
+     *
+     * @param offset offset of the next record to read; ignored if it is before {@link #nextOffset}
+     */
+    public void skipTo(long offset) {
+        nextOffset = Math.max(nextOffset, offset);
+    }
+
     /**
      * Returns when the log stored the last snapshot that was read.
      *
--- a/src/main/java/org/gypsumflow/control/AgentControl.java
+++ b/src/main/java/org/gypsumflow/control/AgentControl.java
@@ -376,14 +376,7 @@
             return;
         }
         readingMembers = true;
-        TypedLogReader.readToHead(
-                        membersLog,
-                        controlExecutor,
-                        settings.logTimeout(),
-                        membership::nextOffset,
-                        page -> page.records()
-                                .forEach(record ->
-                                        membership.apply(record.offset(), record.loggedAtMillis(), record.body())))
+        TypedLogReader.readMembers(membersLog, controlExecutor, settings.logTimeout(), membership)
                 .whenComplete((nothing, failure) -> {
                     readingMembers = false;
                     connectEntries();
--- a/src/main/java/org/gypsumflow/control/EntryStreamPoller.java
+++ b/src/main/java/org/gypsumflow/control/EntryStreamPoller.java
@@ -72,7 +72,7 @@
             return;
         }
         polling = true;
-        readMembers()
+        TypedLogReader.readMembers(membersLog, controlExecutor, timeout, membership)
                 .handle((nothing, failure) -> readOperations(operationsRead))
                 .thenCompose(operationsReading -> operationsReading)
                 .whenComplete((nothing, failure) -> {
@@ -103,12 +103,6 @@
                 .thenAccept(appendResult -> {});
     }
 
-    private CompletableFuture<Void> readMembers() {
-        return TypedLogReader.readToHead(
-                membersLog, controlExecutor, timeout, membership::nextOffset, page -> page.records()
-                        .forEach(record -> membership.apply(record.offset(), record.loggedAtMillis(), record.body())));
-    }
-
     private void applyOperations(Page<OperationRecord> page) {
         if (page.firstOffset() > operationsProjection.nextOffset()) {
             events.write(Event.CONFIGURATION_GAP, page.firstOffset());
@@ -116,6 +110,7 @@
         operationsProjection.skipTruncated(page.firstOffset());
         page.records()
                 .forEach(record -> operationsProjection.apply(record.offset(), record.loggedAtMillis(), record.body()));
+        operationsProjection.skipTo(page.nextOffset());
     }
 
     private void logReachabilityChange(Throwable failure) {
--- a/src/main/java/org/gypsumflow/control/TypedLogReader.java
+++ b/src/main/java/org/gypsumflow/control/TypedLogReader.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.gypsumflow.command.MemberRecord;
+import org.gypsumflow.command.Membership;
 import org.gypsumflow.log.PlatformLog.Page;
 import org.gypsumflow.log.TypedLog;
 
@@ -41,6 +43,23 @@
         return done;
     }
 
+    /**
+     * Reads the members stream to its head and applies the announcements in it.
+     *
+     * @param log members stream
+     * @param executor serial executor on which the membership is updated and the future completes
+     * @param timeout maximum wait for each page
+     * @param membership entries in service; updated
+     * @return completes like {@link #readToHead}
+     */
+    static CompletableFuture<Void> readMembers(
+            TypedLog<MemberRecord> log, SerialExecutor executor, Duration timeout, Membership membership) {
+        return readToHead(log, executor, timeout, membership::nextOffset, page -> {
+            page.records().forEach(record -> membership.apply(record.offset(), record.loggedAtMillis(), record.body()));
+            membership.skipTo(page.nextOffset());
+        });
+    }
+
     private static <T> void readPage(
             TypedLog<T> log,
             SerialExecutor executor,
--- a/src/main/java/org/gypsumflow/daemon/AtMostOnceAgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/AtMostOnceAgentDaemon.java
@@ -147,7 +147,7 @@
                 logHttpClient, settings.logUrl(), settings.control().logTimeout());
         return new AgentDependencies(
                 TimeSource.system(),
-                LogStreams.members(log),
+                LogStreams.members(log, telemetry.events()),
                 transport::connect,
                 target,
                 telemetry.events(),
--- a/src/main/java/org/gypsumflow/daemon/AtMostOnceEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/AtMostOnceEntryDaemon.java
@@ -132,9 +132,9 @@
         return new EntryDependencies(
                 TimeSource.system(),
                 new Random(),
-                LogStreams.operations(log),
-                LogStreams.members(log),
-                stream -> LogStreams.claims(log, stream),
+                LogStreams.operations(log, telemetry.events()),
+                LogStreams.members(log, telemetry.events()),
+                stream -> LogStreams.claims(log, stream, telemetry.events()),
                 transport::connect,
                 WorkerSelectionPolicy.powerOfTwoChoices(),
                 telemetry.events(),
--- a/src/main/java/org/gypsumflow/daemon/LogStreams.java
+++ b/src/main/java/org/gypsumflow/daemon/LogStreams.java
@@ -6,6 +6,9 @@
 import org.gypsumflow.command.OperationRecord;
 import org.gypsumflow.log.PlatformLog;
 import org.gypsumflow.log.TypedLog;
+import org.gypsumflow.log.TypedLog.UndecodableRecordListener;
+import org.gypsumflow.model.Event;
+import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.StreamName;
 import org.gypsumflow.wire.OperationCodec;
 import org.gypsumflow.wire.RecordCodec;
@@ -18,20 +21,23 @@
      * Opens the operations stream, which holds plans, confirmations, steps and snapshots.
      *
      * @param log the platform's log
+     * @param events receives an event for each record that cannot be decoded
      * @return the typed stream
      */
-    public static TypedLog<OperationRecord> operations(PlatformLog log) {
-        return TypedLog.of(log, StreamName.OPERATIONS, OperationCodec::encode, OperationCodec::decode);
+    public static TypedLog<OperationRecord> operations(PlatformLog log, EventLog events) {
+        return TypedLog.of(log, StreamName.OPERATIONS, OperationCodec::encode, OperationCodec::decode, skipped(events));
     }
 
     /**
      * Opens the members stream, which holds the announcements of entries.
      *
      * @param log the platform's log
+     * @param events receives an event for each record that cannot be decoded
      * @return the typed stream
      */
-    public static TypedLog<MemberRecord> members(PlatformLog log) {
-        return TypedLog.of(log, StreamName.MEMBERS, RecordCodec::encodeMember, RecordCodec::decodeMember);
+    public static TypedLog<MemberRecord> members(PlatformLog log, EventLog events) {
+        return TypedLog.of(
+                log, StreamName.MEMBERS, RecordCodec::encodeMember, RecordCodec::decodeMember, skipped(events));
     }
 
     /**
@@ -39,9 +45,15 @@
      *
      * @param log the platform's log
      * @param stream name of the claim stream
+     * @param events receives an event for each record that cannot be decoded
      * @return the typed stream
      */
-    public static TypedLog<List<ClaimRecord>> claims(PlatformLog log, StreamName stream) {
-        return TypedLog.of(log, stream, RecordCodec::encodeClaims, RecordCodec::decodeClaims);
+    public static TypedLog<List<ClaimRecord>> claims(PlatformLog log, StreamName stream, EventLog events) {
+        return TypedLog.of(log, stream, RecordCodec::encodeClaims, RecordCodec::decodeClaims, skipped(events));
+    }
+
+    private static UndecodableRecordListener skipped(EventLog events) {
+        return (stream, offset, failure) -> events.write(
+                Event.MESSAGE_UNREADABLE, "record " + offset + " of stream " + stream, failure.getMessage());
     }
 }
--- a/src/main/java/org/gypsumflow/http/HttpPlatformLog.java
+++ b/src/main/java/org/gypsumflow/http/HttpPlatformLog.java
@@ -77,7 +77,7 @@
         } catch (IOException malformed) {
             throw new UncheckedIOException(malformed);
         }
-        return new Page<>(number(json, "firstOffset"), number(json, "headOffset"), entries);
+        return Page.of(number(json, "firstOffset"), number(json, "headOffset"), entries);
     }
 
     private static JsonNode requiredBody(JsonNode record) {
--- a/src/main/java/org/gypsumflow/log/PlatformLog.java
+++ b/src/main/java/org/gypsumflow/log/PlatformLog.java
@@ -33,10 +33,26 @@
      *
      * @param firstOffset oldest offset that the log retains
      * @param headOffset offset that the next appended record will get
-     * @param records records from the requested offset on, in order
+     * @param nextOffset offset after the last record that was read, whether or not it could be decoded; 0 if none was
+     * @param records records from the requested offset on, in order; without those that could not be decoded
      * @param <T> type of the records' content
      */
-    record Page<T>(long firstOffset, long headOffset, List<LogRecord<T>> records) {}
+    record Page<T>(long firstOffset, long headOffset, long nextOffset, List<LogRecord<T>> records) {
+        /**
+         * Creates a page in which every record that was read is present.
+         *
+         * @param firstOffset oldest offset that the log retains
+         * @param headOffset offset that the next appended record will get
+         * @param records records from the requested offset on, in order
+         * @param <T> type of the records' content
+         * @return the page
+         */
+        public static <T> Page<T> of(long firstOffset, long headOffset, List<LogRecord<T>> records) {
+            long nextOffset =
+                    records.isEmpty() ? 0 : records.get(records.size() - 1).offset() + 1;
+            return new Page<>(firstOffset, headOffset, nextOffset, records);
+        }
+    }
 
     /**
      * Appends a record.
--- a/src/main/java/org/gypsumflow/log/TypedLog.java
+++ b/src/main/java/org/gypsumflow/log/TypedLog.java
@@ -1,5 +1,7 @@
 package org.gypsumflow.log;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.gypsumflow.log.PlatformLog.AppendResult;
@@ -30,18 +32,37 @@
      */
     CompletableFuture<Page<T>> read(long fromOffset, int maxRecords);
 
+    /** Receives the records of a stream that cannot be decoded. */
+    @FunctionalInterface
+    interface UndecodableRecordListener {
+        /**
+         * Called for each read of a record that cannot be decoded.
+         *
+         * @param stream name of the stream
+         * @param offset offset of the record in the stream
+         * @param failure why it cannot be decoded
+         */
+        void recordSkipped(StreamName stream, long offset, RuntimeException failure);
+    }
+
     /**
-     * Creates a typed view of a stream.
+     * Creates a typed view of a stream. Records that cannot be decoded are left out of the pages: anyone may write to
+     * the log, and one bad record must not hide the others.
      *
      * @param log log that holds the stream
      * @param stream name of the stream
      * @param encode encodes the content of a record
-     * @param decode decodes the content of a record
+     * @param decode decodes the content of a record; throws an unchecked exception if it cannot
+     * @param undecodable notified of each record that is left out
      * @param <T> type of the records
      * @return the typed stream
      */
     static <T> TypedLog<T> of(
-            PlatformLog log, StreamName stream, Function<T, byte[]> encode, Function<byte[], T> decode) {
+            PlatformLog log,
+            StreamName stream,
+            Function<T, byte[]> encode,
+            Function<byte[], T> decode,
+            UndecodableRecordListener undecodable) {
         return new TypedLog<>() {
             @Override
             public CompletableFuture<AppendResult> append(T body) {
@@ -50,18 +71,22 @@
 
             @Override
             public CompletableFuture<Page<T>> read(long fromOffset, int maxRecords) {
-                return log.read(stream, fromOffset, maxRecords).thenApply(page -> decodePage(page, decode));
+                return log.read(stream, fromOffset, maxRecords)
+                        .thenApply(page -> decodePage(stream, page, decode, undecodable));
             }
         };
     }
 
-    private static <T> Page<T> decodePage(Page<byte[]> page, Function<byte[], T> decode) {
-        return new Page<>(
-                page.firstOffset(),
-                page.headOffset(),
-                page.records().stream()
-                        .map(entry ->
-                                new LogRecord<>(entry.offset(), entry.loggedAtMillis(), decode.apply(entry.body())))
-                        .toList());
+    private static <T> Page<T> decodePage(
+            StreamName stream, Page<byte[]> page, Function<byte[], T> decode, UndecodableRecordListener undecodable) {
+        List<LogRecord<T>> decoded = new ArrayList<>();
+        for (LogRecord<byte[]> entry : page.records()) {
+            try {
+                decoded.add(new LogRecord<>(entry.offset(), entry.loggedAtMillis(), decode.apply(entry.body())));
+            } catch (RuntimeException failure) {
+                undecodable.recordSkipped(stream, entry.offset(), failure);
+            }
+        }
+        return new Page<>(page.firstOffset(), page.headOffset(), page.nextOffset(), decoded);
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/ClaimStream.java
+++ b/src/main/java/org/gypsumflow/traffic/ClaimStream.java
@@ -224,8 +224,9 @@
     }
 
     private void applyPage(Page<List<ClaimRecord>> page) {
-        claimTable.skipTruncated(page.firstOffset());
+        claimTable.skipTo(page.firstOffset());
         page.records().forEach(record -> claimTable.apply(record.offset(), record.loggedAtMillis(), record.body()));
+        claimTable.skipTo(page.nextOffset());
     }
 
     private void resolve(List<ClaimRecord> batch) {
--- a/src/main/java/org/gypsumflow/wire/ValueCodec.java
+++ b/src/main/java/org/gypsumflow/wire/ValueCodec.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.model.SubmissionDigest;
 import org.gypsumflow.model.TaskId;
 import org.gypsumflow.model.TaskOutcome;
+import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.model.Verdict;
 import org.gypsumflow.model.WorkerName;
 import org.gypsumflow.wire.generated.ConfigurationPart;
@@ -25,6 +26,9 @@
 
 /** Converts values that several messages and records contain to and from protobuf. */
 final class ValueCodec {
+    /** Highest TCP port. */
+    private static final int MAX_PORT = 65_535;
+
     private ValueCodec() {}
 
     static DigestPart encode(SubmissionDigest digest) {
@@ -64,7 +68,11 @@
                 .build();
     }
 
+    /** Decodes an address; throws a {@link ValidationException} for a port that nothing can listen on. */
     static EntryAddress decode(EntryPart part) {
+        if (part.getPort() < 1 || part.getPort() > MAX_PORT) {
+            throw ValidationException.of("port", part.getPort() + " is not between 1 and " + MAX_PORT);
+        }
         return EntryAddress.of(
                 EntryName.of(part.getName()),
                 Incarnation.of(part.getIncarnation()),
--- a/src/test/java/org/gypsumflow/control/TypedLogReaderTest.java
+++ b/src/test/java/org/gypsumflow/control/TypedLogReaderTest.java
@@ -19,7 +19,7 @@
 
         @Override
         public CompletableFuture<Page<String>> read(long fromOffset, int maxRecords) {
-            return CompletableFuture.completedFuture(new Page<>(0, 0, List.of()));
+            return CompletableFuture.completedFuture(Page.of(0, 0, List.of()));
         }
     }
 
--- a/src/test/java/org/gypsumflow/world/FakeLog.java
+++ b/src/test/java/org/gypsumflow/world/FakeLog.java
@@ -130,7 +130,7 @@
                 retained.add((LogRecord<T>) (LogRecord<?>) logRecord);
             }
         }
-        return new Page<>(first, stream.nextOffset, retained);
+        return Page.of(first, stream.nextOffset, retained);
     }
 
     private Stream stream(String name) {
