Run the traffic of best-effort daemons on the transport's thread

Each message between members changed threads twice (transport to traffic, traffic to transport) and made a system call of its own.

Now the traffic executor is the transport's event loop, and writes to one receiver that are queued together share a system call. Ids of jobs are formatted without java.util.Formatter.

--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -59,7 +59,7 @@
         this.gracePeriod = settings.gracePeriod();
         this.transport = NettyTransport.create("netty", 1, events);
         this.controlExecutor = createExecutor("control");
-        this.trafficExecutor = createExecutor("traffic");
+        this.trafficExecutor = SingleThreadExecutor.on(transport.thread(), "traffic", events);
         this.routingState = RoutingStateCache.create(events);
         this.httpServer =
                 GrizzlyHttpServer.create(httpAddress.getAddress().getHostAddress(), httpAddress.getPort(), 1, events);
--- a/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
+++ b/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
@@ -9,20 +9,16 @@
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
 
-/** Serial executor on one daemon thread of its own. */
+/** Serial executor on one thread. */
 public final class SingleThreadExecutor implements SerialExecutor, AutoCloseable {
     private final ScheduledExecutorService thread;
     private final String name;
     private final EventLog events;
 
-    private SingleThreadExecutor(String name, EventLog events) {
+    private SingleThreadExecutor(String name, ScheduledExecutorService thread, EventLog events) {
         this.name = name;
+        this.thread = thread;
         this.events = events;
-        this.thread = Executors.newSingleThreadScheduledExecutor(action -> {
-            Thread newThread = new Thread(action, name);
-            newThread.setDaemon(true);
-            return newThread;
-        });
     }
 
     /**
@@ -33,7 +29,26 @@
      * @return the executor
      */
     public static SingleThreadExecutor create(String name, EventLog events) {
-        return new SingleThreadExecutor(name, events);
+        return on(
+                Executors.newSingleThreadScheduledExecutor(action -> {
+                    Thread newThread = new Thread(action, name);
+                    newThread.setDaemon(true);
+                    return newThread;
+                }),
+                name,
+                events);
+    }
+
+    /**
+     * Creates an executor on a thread that others use as well, such as that of a transport.
+     *
+     * @param thread executes actions one at a time
+     * @param name name of the executor in log events
+     * @param events receives an event for each action that throws an exception or an error
+     * @return the executor
+     */
+    public static SingleThreadExecutor on(ScheduledExecutorService thread, String name, EventLog events) {
+        return new SingleThreadExecutor(name, thread, events);
     }
 
     @Override
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -3,6 +3,7 @@
 import io.netty.util.NetUtil;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -216,7 +217,7 @@
     }
 
     private static JobId decodeJob(long bits) {
-        return JobId.of(String.format("%016x", bits));
+        return JobId.of(HexFormat.of().toHexDigits(bits));
     }
 
     /** Sends the specification once: the assignments usually belong to one job, and it is their largest field. */
--- a/src/main/java/org/gypsumflow/wire/NettyTransport.java
+++ b/src/main/java/org/gypsumflow/wire/NettyTransport.java
@@ -18,9 +18,11 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionListener;
 import org.gypsumflow.model.EntryAddress;
@@ -35,6 +37,8 @@
     private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    /** Messages to one receiver that may share a system call; a report of an agent rarely waits for more. */
+    private static final int MAX_MESSAGES_PER_WRITE = 64;
 
     private final EventLoopGroup group;
     private final EventLog events;
@@ -117,6 +121,15 @@
         return opened;
     }
 
+    /**
+     * Returns the thread that reads and writes; messages reach state that is confined to it without a change of threads.
+     *
+     * @return the first thread of the transport, which closes it
+     */
+    public ScheduledExecutorService thread() {
+        return group.next();
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
@@ -127,6 +140,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
+                        .addLast(new FlushConsolidationHandler(MAX_MESSAGES_PER_WRITE, true))
                         .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
--- a/src/test/java/org/gypsumflow/daemon/SingleThreadExecutorTest.java
+++ b/src/test/java/org/gypsumflow/daemon/SingleThreadExecutorTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gypsumflow.model.Event;
+import org.gypsumflow.wire.NettyTransport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -56,6 +57,21 @@
         assertEquals(written, List.of(Event.INTERNAL_ERROR, Event.INTERNAL_ERROR));
     }
 
+    // Guards against traffic that stands still without a line: the thread of a transport drops what its actions throw.
+    @Test(dataProvider = "throwingActions")
+    public void whatAnActionThrowsOnTheThreadOfATransportIsLogged(Runnable throwing) throws InterruptedException {
+        try (NettyTransport transport = NettyTransport.create("test", 1, (event, details) -> {})) {
+            SingleThreadExecutor traffic =
+                    SingleThreadExecutor.on(transport.thread(), "traffic", (event, details) -> written.add(event));
+            CountDownLatch nextRan = new CountDownLatch(1);
+            traffic.execute(throwing);
+            traffic.schedule(Duration.ZERO, throwing);
+            traffic.schedule(Duration.ofMillis(1), nextRan::countDown);
+            assertTrue(nextRan.await(WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+        assertEquals(written, List.of(Event.INTERNAL_ERROR, Event.INTERNAL_ERROR));
+    }
+
     // Guards against a check, such as that of the connections, that ended for good when it threw once.
     @Test(dataProvider = "throwingActions")
     public void aPeriodicActionThatThrowsOnceRunsAgain(Runnable throwing) throws InterruptedException {
