Answer requests whose body arrives after their head

Cause: on a connection that has carried a suspended request, Grizzly loses the rest of the body of a later request if the request is handled before the rest arrives; narrow links split requests.

Now a filter collects the body before the request is handled. The test failed before (no answer within 20 s at the first few requests of a connection).

--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -24,6 +24,7 @@
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.HttpServerFilter;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -156,6 +157,8 @@
         listener.getTransport().setSelectorRunnersCount(threads);
         listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.getFileCache().setEnabled(false);
+        listener.registerAddOn((networkListener, chain) ->
+                chain.add(chain.indexOfType(HttpServerFilter.class), WholeBodyFilter.create(MAX_BODY_BYTES)));
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new DispatchHandler(), "/");
     }
--- a/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
+++ b/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -12,6 +14,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.gypsumflow.http.GrizzlyHttpServer.ServerResponse;
 import org.gypsumflow.http.HttpClient.ClientResponse;
 import org.testng.annotations.AfterMethod;
@@ -22,6 +27,7 @@
 public final class GrizzlyHttpServerTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final int CHUNK_BYTES = 60_000;
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("Content-Length: (\\d+)");
 
     private GrizzlyHttpServer server;
     private HttpClient httpClient;
@@ -109,6 +115,47 @@
         }
     }
 
+    // Guards against a request that is never answered: its body arrived after its head, on a connection that had been
+    // used before, and the handler completes on a thread of its own.
+    @Test(timeOut = 60_000)
+    public void eachRequestOfAConnectionIsAnsweredIfItsBodyArrivesAfterItsHead() throws IOException {
+        server.addHandler(
+                "POST",
+                "/later",
+                request -> CompletableFuture.supplyAsync(
+                        () -> ServerResponse.text(200, Integer.toString(request.body().length)),
+                        CompletableFuture.delayedExecutor(1, TimeUnit.MILLISECONDS)));
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            for (int length = 100; length < 200; length++) {
+                sendInTwoParts(socket.getOutputStream(), "/later", length);
+                assertEquals(readBody(socket.getInputStream()), Integer.toString(length));
+            }
+        }
+    }
+
+    private static void sendInTwoParts(OutputStream output, String path, int length) throws IOException {
+        String head = "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\n";
+        output.write(head.getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        Uninterruptibles.sleepUninterruptibly(2, TimeUnit.MILLISECONDS);
+        output.write(new byte[length]);
+        output.flush();
+    }
+
+    private static String readBody(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            assertTrue(next >= 0, "the connection was closed");
+            head.append((char) next);
+        }
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        assertTrue(length.find());
+        return new String(input.readNBytes(Integer.parseInt(length.group(1))), StandardCharsets.UTF_8);
+    }
+
     private String answerToChunks(int chunks) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout((int) TIMEOUT.toMillis());
