Bear short delays of a process and open few connections at a time

Now four connections at most are being opened at a time, each holding up the others for 100 ms at most; a check of the connections that comes late does not count its delay as silence; and an entry abandons its jobs after a delay of 900 ms rather than 450. Until then no caller has sent a job elsewhere (1,300 ms), and the delay is like a silence of all connections, for which the timeouts of both sides hold. Agents keep the 450 ms.

Ruled out: the store and the barrier for jobs (GF624 came with the first connections).

Tests without network: ConnectionManagerTest (storm, unresponsive members, late check), BestEffortEntryTest, BestEffortTimingsTest; the storm, the late check and the short delay failed before.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -75,6 +75,11 @@
     public static final Duration TAKE_OVER_AFTER_LAST_MESSAGE = Duration.ofMillis(2500);
     /** Other members may consider a process lost that paused for this long; longer than the delay of a slow timer. */
     public static final Duration PAUSE_THRESHOLD = Duration.ofMillis(450);
+    /**
+     * An entry that paused for this long abandons its jobs: their callers may have sent them to another entry meanwhile,
+     * which they do 1,300 ms after they got no response. A shorter pause is like a silence of all its connections.
+     */
+    public static final Duration ENTRY_PAUSE_THRESHOLD = Duration.ofMillis(900);
     /** Time between unsolicited reports of a changing worker status: longer saves bytes, shorter avoids collisions. */
     public static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
     /** Number of entries from which an agent reports to each less often, to limit its messages per second. */
--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
@@ -41,6 +43,13 @@
     private static final Duration INITIAL_RECONNECT_DELAY = Duration.ofMillis(100);
     /** Maximum delay between two retries; a member that comes back waits for half of it on average. */
     private static final Duration MAX_RECONNECT_DELAY = Duration.ofMillis(800);
+    /**
+     * Connections that are being opened at the same time. A process that has just started opens one to each member; all at
+     * once they would delay the heartbeats on those that are open, until they time out and have to be opened again.
+     */
+    private static final int MAX_CONNECTION_ATTEMPTS = 4;
+    /** Time after which an attempt makes room for the next: a member that is gone must not hold up the others. */
+    private static final Duration ATTEMPT_SLOT_TIME = Duration.ofMillis(100);
 
     /**
      * Callbacks for connections and messages. Connections and routing states are reported on the control thread, confirmed
@@ -159,6 +168,9 @@
     private final Map<MemberName, Connection> connectionByName = new HashMap<>();
     private final Map<MemberName, Member> membersToConnect = new HashMap<>();
     private final Set<MemberName> connecting = new HashSet<>();
+    private final Set<MemberName> awaitingAttempt = new LinkedHashSet<>();
+    private int runningAttempts;
+    private long lastCheckNanos;
     private final Map<MemberName, Duration> reconnectDelays = new HashMap<>();
     private final Set<MemberName> waitingToReconnect = new HashSet<>();
     private final Set<Connection> initiatedHere = new HashSet<>();
@@ -206,6 +218,7 @@
 
     /** Starts to monitor the connections: sends heartbeats and closes connections that time out. */
     public void start() {
+        lastCheckNanos = time.nanoTime();
         controlExecutor.scheduleWithFixedDelay(BestEffortTimings.CONNECTION_CHECK_INTERVAL, () -> {
             checkConnections();
             return !stopped;
@@ -350,11 +363,29 @@
     }
 
     private void connect(MemberName name) {
+        if (connectionByName.containsKey(name) || connecting.contains(name)) {
+            return;
+        }
+        awaitingAttempt.add(name);
+        startAttempts();
+    }
+
+    private void startAttempts() {
+        while (runningAttempts < MAX_CONNECTION_ATTEMPTS && !awaitingAttempt.isEmpty()) {
+            MemberName name = awaitingAttempt.iterator().next();
+            awaitingAttempt.remove(name);
+            attempt(name);
+        }
+    }
+
+    private void attempt(MemberName name) {
         Member member = membersToConnect.get(name);
         if (stopped || member == null || connectionByName.containsKey(name) || !connecting.add(name)) {
             return;
         }
+        Runnable endAttempt = occupyAttemptSlot();
         controlExecutor.whenDone(open(member), (connection, failure) -> {
+            endAttempt.run();
             if (failure != null) {
                 connecting.remove(name);
                 scheduleReconnect(name);
@@ -373,6 +404,20 @@
         });
     }
 
+    /** Returns the action that makes room for the next attempt, which runs at the latest after the slot time. */
+    private Runnable occupyAttemptSlot() {
+        runningAttempts++;
+        AtomicBoolean occupied = new AtomicBoolean(true);
+        Runnable end = () -> {
+            if (occupied.getAndSet(false)) {
+                runningAttempts--;
+                startAttempts();
+            }
+        };
+        controlExecutor.schedule(ATTEMPT_SLOT_TIME, end);
+        return end;
+    }
+
     private CompletableFuture<Connection> open(Member member) {
         try {
             return connector.connect(member, this);
@@ -396,8 +441,10 @@
 
     private void checkConnections() {
         long nowNanos = time.nanoTime();
+        long maxSilenceNanos = BestEffortTimings.HEARTBEAT_TIMEOUT.toNanos() + delayOfCheckNanos(nowNanos);
+        lastCheckNanos = nowNanos;
         states.forEach((connection, state) -> {
-            if (nowNanos - state.lastReceivedNanos > BestEffortTimings.HEARTBEAT_TIMEOUT.toNanos()) {
+            if (nowNanos - state.lastReceivedNanos > maxSilenceNanos) {
                 connectionEnded(
                         connection,
                         "no message for "
@@ -410,6 +457,11 @@
         });
     }
 
+    /** Returns how late this check is. For that time this process read nothing, so that it proves no silence. */
+    private long delayOfCheckNanos(long nowNanos) {
+        return Math.max(0, nowNanos - lastCheckNanos - BestEffortTimings.CONNECTION_CHECK_INTERVAL.toNanos());
+    }
+
     private boolean needsHeartbeat(Member member, ConnectionState state, long nowNanos) {
         if (sendsHeartbeatsAlwaysTo(member)) {
             return heartbeatDue(state, nowNanos);
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -130,7 +130,7 @@
         this.time = time;
         this.events = events;
         this.routingState = routingState;
-        this.pauseDetector = PauseDetector.create(time);
+        this.pauseDetector = PauseDetector.create(BestEffortTimings.PAUSE_THRESHOLD, time);
         this.workerSession = new WorkerSession(
                 this.executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
     }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -82,7 +82,7 @@
         this.time = time;
         this.events = events;
         this.routingState = routingState;
-        this.pauseDetector = PauseDetector.create(time);
+        this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
         this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
--- a/src/main/java/org/gypsumflow/traffic/PauseDetector.java
+++ b/src/main/java/org/gypsumflow/traffic/PauseDetector.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.control.TimeSource;
 
 /**
@@ -12,11 +11,13 @@
  * wall clock may be set back.
  */
 final class PauseDetector {
+    private final Duration threshold;
     private final TimeSource time;
     private long previousNanos;
     private long previousMillis;
 
-    private PauseDetector(TimeSource time) {
+    private PauseDetector(Duration threshold, TimeSource time) {
+        this.threshold = threshold;
         this.time = time;
         restart();
     }
@@ -24,11 +25,12 @@
     /**
      * Creates a detector that measures from now on.
      *
+     * @param threshold time without a call from which on the process counts as paused
      * @param time wall clock and monotonic clock
      * @return the detector
      */
-    static PauseDetector create(TimeSource time) {
-        return new PauseDetector(time);
+    static PauseDetector create(Duration threshold, TimeSource time) {
+        return new PauseDetector(threshold, time);
     }
 
     /** Measures from now on, as if the process had run until now. */
@@ -40,13 +42,13 @@
     /**
      * Measures the time since the last call.
      *
-     * @return that time if it exceeds {@link BestEffortTimings#PAUSE_THRESHOLD}
+     * @return that time if it exceeds the threshold
      */
     Optional<Duration> detect() {
         Duration monotonicGap = Duration.ofNanos(time.nanoTime() - previousNanos);
         Duration wallGap = Duration.ofMillis(time.currentTimeMillis() - previousMillis);
         restart();
         Duration gap = monotonicGap.compareTo(wallGap) > 0 ? monotonicGap : wallGap;
-        return gap.compareTo(BestEffortTimings.PAUSE_THRESHOLD) > 0 ? Optional.of(gap) : Optional.empty();
+        return gap.compareTo(threshold) > 0 ? Optional.of(gap) : Optional.empty();
     }
 }
--- a/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
+++ b/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
@@ -121,6 +121,14 @@
         assertTrue(BestEffortTimings.PAUSE_THRESHOLD.compareTo(BestEffortTimings.HEARTBEAT_TIMEOUT) < 0);
     }
 
+    @Test
+    public void anEntryThatGoesOnAfterAPauseTellsItsJobsBeforeTheirCallersSendThemElsewhere() {
+        Duration callerRetryDelay = Duration.ofMillis(1300);
+        Duration jobsToldAfter =
+                BestEffortTimings.ENTRY_PAUSE_THRESHOLD.plus(BestEffortTimings.REPORT_INTERVAL.multipliedBy(2));
+        assertTrue(jobsToldAfter.compareTo(callerRetryDelay) < 0);
+    }
+
     @Test
     public void tasksOfACrashedEntryAreStoppedBeforeItsCallersRetryTheirJobs() {
         Duration callerRetryDelay = Duration.ofMillis(1300);
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -323,6 +323,63 @@
         assertEquals(notifications, List.of("connected"));
     }
 
+    // Guards against a storm: an entry that started beside many members opened all connections at once, answered none
+    // in
+    // time, and had to open them again.
+    @Test
+    public void anEntryBesideManyMembersOpensFewConnectionsAtATime() {
+        List<CompletableFuture<Connection>> attempts = createManagerWithAttempts();
+        for (int index = 0; index < 80; index++) {
+            connectionManager.maintainConnection(member("agent-" + index, Member.Role.AGENT));
+        }
+        assertEquals(attempts.size(), 4);
+        for (int done = 0; done < 80; done++) {
+            attempts.get(done).complete(new RecordingConnection());
+            assertEquals(attempts.size(), Math.min(80, done + 5));
+        }
+    }
+
+    // Guards against an entry that cannot reach the living members of a lost zone's neighbours for seconds.
+    @Test
+    public void membersThatDoNotRespondHoldUpTheOthersOnlyBriefly() {
+        List<CompletableFuture<Connection>> attempts = createManagerWithAttempts();
+        for (int index = 0; index < 80; index++) {
+            connectionManager.maintainConnection(member("agent-" + index, Member.Role.AGENT));
+        }
+        executor.advance(2000);
+        assertEquals(attempts.size(), 80);
+    }
+
+    private List<CompletableFuture<Connection>> createManagerWithAttempts() {
+        List<CompletableFuture<Connection>> attempts = new ArrayList<>();
+        connectionManager = ConnectionManager.create(
+                SELF,
+                Incarnation.random(),
+                executor,
+                executor.timeSource(),
+                (member, listener) -> {
+                    attempts.add(new CompletableFuture<>());
+                    return attempts.get(attempts.size() - 1);
+                },
+                new RecordingListener(),
+                (event, details) -> {});
+        return attempts;
+    }
+
+    // Guards against connections that a process closes because it was held up itself: what had arrived meanwhile was
+    // still unread.
+    @Test
+    public void aProcessThatWasHeldUpDoesNotTakeThatTimeForSilenceOfTheMember() {
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
+        executor.advanceClockOnly(BestEffortTimings.HEARTBEAT_TIMEOUT.toMillis());
+        executor.advance(1);
+        assertEquals(notifications, List.of("connected"));
+        executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
+        assertEquals(notifications, List.of("connected", "lost"));
+    }
+
     // Guards against two runs of one task: the jobs that a peer announced when it connected were dropped, since its
     // introduction was still waiting for the control thread.
     @Test
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -192,6 +192,17 @@
         assertEquals(outcome.join().verdict(), Verdict.MAY_HAVE_RUN);
     }
 
+    // Guards against an entry that serves nobody: the processor of a small host that has just started is held up again
+    // and
+    // again for half a second, and each time the entry abandoned its jobs.
+    @Test
+    public void anEntryThatWasHeldUpBrieflyGoesOnWithItsJobs() {
+        CompletableFuture<BestEffortOutcome> outcome = submit("00000000000000a7", new CompletableFuture<>());
+        executor.advanceClockOnly(BestEffortTimings.ENTRY_PAUSE_THRESHOLD.toMillis() - 10);
+        executor.advance(1);
+        assertFalse(outcome.isDone());
+    }
+
     // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
     @Test
     public void anEntryThatWasPausedAbandonsItsActiveJobsAlthoughTheWallClockWasSetBackMeanwhile() {
