--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -33,8 +33,8 @@
     public static final Duration HEARTBEAT_IDLE_TIME = Duration.ofMillis(50);
     /** The same for a process with many connections: a heartbeat every second check, two in a heartbeat timeout. */
     public static final Duration HEARTBEAT_IDLE_TIME_MANY_CONNECTIONS = Duration.ofMillis(200);
-    /** A process with more connections than this sends fewer heartbeats; present deployments have fewer. */
-    public static final int MANY_CONNECTIONS_THRESHOLD = 16;
+    /** A process with more connections than this sends fewer heartbeats, which would outnumber its other messages. */
+    public static final int MANY_CONNECTIONS_THRESHOLD = 8;
     /**
      * An entry's heartbeats to an agent echo those of the agent; one is sent without a heartbeat of the agent on a
      * connection that is idle for this long at a check.
@@ -79,11 +79,13 @@
      * An entry that paused for this long abandons its jobs: their callers may have sent them to another entry meanwhile,
      * which they do 1,300 ms after they got no response. A shorter pause is like a silence of all its connections.
      */
-    public static final Duration ENTRY_PAUSE_THRESHOLD = Duration.ofMillis(900);
+    public static final Duration ENTRY_PAUSE_THRESHOLD = Duration.ofMillis(850);
     /** Time between unsolicited reports of a changing worker status: longer saves bytes, shorter avoids collisions. */
     public static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
     /** Number of entries from which an agent reports to each less often, to limit its messages per second. */
     public static final int ENTRIES_AT_FULL_RATE = 6;
+    /** Longest time after which an entry tells the others which jobs it accepted; they are sent again after 1,300 ms. */
+    public static final Duration MAX_ANNOUNCEMENT_INTERVAL = Duration.ofMillis(200);
     /** Multiple of the latency objective after which a result has no value for its caller. */
     public static final double HARD_DEADLINE_FACTOR = 3.0;
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -69,6 +69,7 @@
     private final JobObserver observer;
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
+    private long lastAnnouncementNanos;
     private boolean stopped;
 
     private BestEffortEntry(
@@ -290,9 +291,14 @@
     }
 
     private void announceAcceptedJobs() {
-        if (unannouncedJobs.isEmpty()) {
+        long sinceLast = time.nanoTime() - lastAnnouncementNanos;
+        boolean due = peers.reachablePeers().size() < BestEffortTimings.ENTRIES_AT_FULL_RATE
+                || sinceLast + BestEffortTimings.REPORT_INTERVAL.toNanos()
+                        > BestEffortTimings.MAX_ANNOUNCEMENT_INTERVAL.toNanos();
+        if (unannouncedJobs.isEmpty() || !due) {
             return;
         }
+        lastAnnouncementNanos = time.nanoTime();
         peers.sendToAll(new ShareJobs(unannouncedJobs));
         unannouncedJobs.clear();
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -174,6 +174,27 @@
         assertEquals(peer.sent(), List.of(new ShareJobs(List.of(JobId.of("00000000000000a4")))));
     }
 
+    @Test
+    public void anEntryAmongManyTellsThemOfItsJobsLessOftenButBeforeTheirCallersSendThemAgain() {
+        for (int index = 0; index < 14; index++) {
+            MemberName name = MemberName.of("other-" + index);
+            entry.memberConnected(member(name, Member.Role.ENTRY), RecordingConnection.create());
+        }
+        peer.sent().clear();
+        for (int job = 0; job < 20; job++) {
+            submit("00000000000000" + (job + 10), new CompletableFuture<>());
+            executor.advance(100);
+        }
+        executor.advance(BestEffortTimings.MAX_ANNOUNCEMENT_INTERVAL.toMillis());
+        List<ShareJobs> announcements = sentTo(peer, ShareJobs.class);
+        assertEquals(
+                announcements.stream()
+                        .mapToInt(message -> message.acceptedJobs().size())
+                        .sum(),
+                20);
+        assertTrue(announcements.size() <= 11, announcements.toString());
+    }
+
     @Test
     public void tasksAreStoppedWhenTheOnlyWaitingCallerDisconnects() {
         CompletableFuture<Void> disconnected = new CompletableFuture<>();
