Ask the other entries what they took over when only the time of day advanced

Callers saw: when the time of day jumped forward on the host of an entry, all its active jobs ended with 504.

Cause: a forward jump of the wall clock alone was taken for a pause. It may be one, as the monotonic clock stands still while a host is suspended, or the clock was set; the process cannot tell (the platform lists no boot time clock that Java can read). The other entries can: what matters is whether one of them took a job over. A gap of the monotonic clock is a pause as before.

Ruled out: /proc/uptime, which counts suspensions; it shows the real machine's time where the platform simulates clocks.

--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -55,6 +55,7 @@
     private final Map<JobId, ActiveJob> waitingJobs = new LinkedHashMap<>();
     private final EndingJobs endingJobs = new EndingJobs();
     private final Map<ServiceName, Long> workersLastSeenNanos = new HashMap<>();
+    private boolean placementsHeld;
     private long lastRetryNanos;
     private long latestNanos;
     private final WorkerCapacityTracker capacityTracker;
@@ -192,6 +193,30 @@
         return jobs.size();
     }
 
+    /** Assigns no tasks until {@link #releasePlacements}, since another entry may have taken jobs over. */
+    public void holdPlacements() {
+        placementsHeld = true;
+    }
+
+    /**
+     * Assigns tasks again, first those of the jobs that waited meanwhile.
+     *
+     * @param nowNanos current monotonic time
+     */
+    public void releasePlacements(long nowNanos) {
+        placementsHeld = false;
+        List.copyOf(jobs.values()).forEach(activeJob -> place(activeJob, nowNanos));
+    }
+
+    /**
+     * Returns the jobs without an outcome.
+     *
+     * @return ids of the active jobs
+     */
+    public List<JobId> activeJobs() {
+        return List.copyOf(jobs.keySet());
+    }
+
     /**
      * Returns the jobs whose tasks may be running because of this entry.
      *
@@ -337,7 +362,7 @@
     }
 
     private void place(ActiveJob activeJob, long nowNanos) {
-        if (jobs.get(activeJob.job().id()) != activeJob) {
+        if (placementsHeld || jobs.get(activeJob.job().id()) != activeJob) {
             return;
         }
         List<Integer> waiting = activeJob.waitingTasks();
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -20,6 +20,12 @@
     PEER_CONNECTED(203, Level.INFO, "connected to entry {}"),
     /** The process did not run for some time, for example because its host was suspended. */
     PROCESS_PAUSED(207, Level.WARN, "this process was paused for {} ms"),
+    /** The wall clock advanced further than the monotonic clock. */
+    WALL_CLOCK_AHEAD(
+            208,
+            Level.WARN,
+            "the wall clock advanced by {} ms at once: it was set, or this host was suspended; asking the other entries"
+                    + " which jobs they have taken over"),
     /** The connection to a peer was closed. */
     PEER_LOST(204, Level.WARN, "connection to entry {} closed"),
     /** The target on the agent's host registered with the agent. */
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -35,6 +35,7 @@
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.WorkerReport;
+import org.gypsumflow.traffic.PauseDetector.Pause;
 
 /**
  * Runs the tasks that entries assign to this agent's worker, and reports their results and the worker's status back.
@@ -413,7 +414,7 @@
     }
 
     private void detectPause() {
-        pauseDetector.detect().ifPresent(pause -> {
+        pauseDetector.detect().map(Pause::duration).ifPresent(pause -> {
             events.write(Event.PROCESS_PAUSED, pause.toMillis());
             lastPauseNanos = OptionalLong.of(time.nanoTime());
             scheduler.processPaused(time.nanoTime());
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -42,6 +42,7 @@
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.traffic.JobHandovers.Submission;
+import org.gypsumflow.traffic.PauseDetector.Pause;
 import org.gypsumflow.traffic.PeerPaths.PeerPath;
 
 /**
@@ -67,6 +68,7 @@
     private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
     private final JobObserver observer;
+    private Optional<Pause> possibleSuspension = Optional.empty();
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
     private long lastAnnouncementNanos;
@@ -146,6 +148,7 @@
 
     private void releaseJobsIfPeersAreKnown() {
         if (barrier.takeDownIfDue(time.nanoTime())) {
+            resolvePossibleSuspension();
             String reason = barrier.describe();
             List<JobId> jobs = handovers.heldBackJobs().stream()
                     .filter(job -> jobOwners.ownerOf(job, time.nanoTime()).isEmpty())
@@ -471,16 +474,40 @@
     }
 
     private void detectPause() {
-        Optional<Duration> pause = pauseDetector.detect();
+        Optional<Pause> pause = pauseDetector.detect();
         if (pause.isEmpty()) {
             return;
         }
         barrier.raise(peers.reachablePeers(), time.nanoTime());
         peers.sendToAll(new RequestJobs(barrier.questionNumber()));
-        if (activeJobCount() > 0) {
-            events.write(Event.PROCESS_PAUSED, pause.get().toMillis());
-            abandonAllJobs("this host was paused for " + pause.get().toMillis() + " ms");
+        if (activeJobCount() == 0) {
+            return;
+        }
+        if (pause.get().isCertain()) {
+            events.write(Event.PROCESS_PAUSED, pause.get().duration().toMillis());
+            abandonAllJobs("this host was paused for " + pause.get().duration().toMillis() + " ms");
+        } else {
+            events.write(Event.WALL_CLOCK_AHEAD, pause.get().duration().toMillis());
+            possibleSuspension = pause;
+            dispatcher.holdPlacements();
+        }
+    }
+
+    /** Abandons the jobs that peers may have taken over, if this host was suspended: those that they told, or all. */
+    private void resolvePossibleSuspension() {
+        if (possibleSuspension.isEmpty()) {
+            return;
+        }
+        long pauseMillis = possibleSuspension.get().duration().toMillis();
+        possibleSuspension = Optional.empty();
+        if (barrier.areAllJobsTold()) {
+            dispatcher.activeJobs().stream()
+                    .filter(job -> jobOwners.ownerOf(job, time.nanoTime()).isPresent())
+                    .forEach(dispatcher::abandon);
+        } else {
+            abandonAllJobs("this host may have been suspended for " + pauseMillis + " ms, and not all entries replied");
         }
+        dispatcher.releasePlacements(time.nanoTime());
     }
 
     private void completeDrainIfIdle() {
--- a/src/main/java/org/gypsumflow/traffic/JobBarrier.java
+++ b/src/main/java/org/gypsumflow/traffic/JobBarrier.java
@@ -74,6 +74,11 @@
         return true;
     }
 
+    /** Returns whether each peer has told its jobs, rather than the time being over. */
+    boolean areAllJobsTold() {
+        return told.containsAll(peers.orElseThrow());
+    }
+
     boolean isUp() {
         return !down;
     }
--- a/src/main/java/org/gypsumflow/traffic/PauseDetector.java
+++ b/src/main/java/org/gypsumflow/traffic/PauseDetector.java
@@ -11,6 +11,14 @@
  * wall clock may be set back.
  */
 final class PauseDetector {
+    /**
+     * Time for which this process did not run.
+     *
+     * @param duration time by the clock that advanced further
+     * @param isCertain false if only the wall clock advanced: the host was suspended, or the clock was set
+     */
+    record Pause(Duration duration, boolean isCertain) {}
+
     private final Duration threshold;
     private final TimeSource time;
     private long previousNanos;
@@ -42,13 +50,14 @@
     /**
      * Measures the time since the last call.
      *
-     * @return that time if it exceeds the threshold
+     * @return the pause if that time exceeds the threshold
      */
-    Optional<Duration> detect() {
+    Optional<Pause> detect() {
         Duration monotonicGap = Duration.ofNanos(time.nanoTime() - previousNanos);
         Duration wallGap = Duration.ofMillis(time.currentTimeMillis() - previousMillis);
         restart();
         Duration gap = monotonicGap.compareTo(wallGap) > 0 ? monotonicGap : wallGap;
-        return gap.compareTo(threshold) > 0 ? Optional.of(gap) : Optional.empty();
+        boolean isCertain = monotonicGap.compareTo(threshold) > 0;
+        return gap.compareTo(threshold) > 0 ? Optional.of(new Pause(gap, isCertain)) : Optional.empty();
     }
 }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -224,6 +224,51 @@
         assertFalse(outcome.isDone());
     }
 
+    // Guards against jobs that were abandoned because the time of day was set.
+    @Test
+    public void aStepOfTheWallClockEndsNoJobThatNoPeerHasTakenOver() {
+        CompletableFuture<BestEffortOutcome> outcome = submit("00000000000000a7", new CompletableFuture<>());
+        executor.stepWallClock(3000);
+        executor.advance(200);
+        tellJobsOfPeer(JOB);
+        executor.advance(200);
+        assertFalse(outcome.isDone());
+        report(assignments().get(0), RunOutcome.DONE);
+        assertEquals(verdict(outcome), Verdict.COMPLETED);
+    }
+
+    // Guards against two runs of one task: the monotonic clock stood still while the host was suspended, and a peer
+    // took
+    // the job over.
+    @Test
+    public void aJobThatAPeerTookOverDuringASuspensionIsAbandoned() {
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.stepWallClock(3000);
+        executor.advance(200);
+        tellJobsOfPeer(JOB);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    public void noTaskIsAssignedAgainAfterAPossibleSuspensionBeforeThePeersHaveToldTheirJobs() {
+        submit(JOB);
+        executor.stepWallClock(3000);
+        executor.advance(200);
+        report(assignments().get(0), RunOutcome.FAILED);
+        executor.advance(100);
+        assertEquals(assignments().size(), 1);
+        tellJobsOfPeer(JobId.of("00000000000000b9"));
+        assertEquals(assignments().size(), 2);
+    }
+
+    @Test
+    public void jobsAreAbandonedAfterAPossibleSuspensionIfAPeerDoesNotTellItsJobs() {
+        CompletableFuture<BestEffortOutcome> outcome = submit(JOB);
+        executor.stepWallClock(3000);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() + 200);
+        assertEquals(verdict(outcome), Verdict.MAY_HAVE_RUN);
+    }
+
     // Guards against a pause that went unnoticed: the wall clock was set back while the host was suspended.
     @Test
     public void anEntryThatWasPausedAbandonsItsActiveJobsAlthoughTheWallClockWasSetBackMeanwhile() {
