--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -4,13 +4,11 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
@@ -43,13 +41,6 @@
     private static final Duration INITIAL_RECONNECT_DELAY = Duration.ofMillis(100);
     /** Maximum delay between two retries; a member that comes back waits for half of it on average. */
     private static final Duration MAX_RECONNECT_DELAY = Duration.ofMillis(800);
-    /**
-     * Connections that are being opened at the same time. A process that has just started opens one to each member; all at
-     * once they would delay the heartbeats on those that are open, until they time out and have to be opened again.
-     */
-    private static final int MAX_CONNECTION_ATTEMPTS = 4;
-    /** Time after which an attempt makes room for the next: a member that is gone must not hold up the others. */
-    private static final Duration ATTEMPT_SLOT_TIME = Duration.ofMillis(100);
 
     /**
      * Callbacks for connections and messages. Connections and routing states are reported on the control thread, confirmed
@@ -168,8 +159,7 @@
     private final Map<MemberName, Connection> connectionByName = new HashMap<>();
     private final Map<MemberName, Member> membersToConnect = new HashMap<>();
     private final Set<MemberName> connecting = new HashSet<>();
-    private final Set<MemberName> awaitingAttempt = new LinkedHashSet<>();
-    private int runningAttempts;
+    private final ConnectionAttempts attempts;
     private long lastCheckNanos;
     private final Map<MemberName, Duration> reconnectDelays = new HashMap<>();
     private final Set<MemberName> waitingToReconnect = new HashSet<>();
@@ -191,6 +181,7 @@
         this.connector = connector;
         this.listener = listener;
         this.events = events;
+        this.attempts = ConnectionAttempts.create(controlExecutor, this::attempt);
     }
 
     /**
@@ -366,26 +357,17 @@
         if (connectionByName.containsKey(name) || connecting.contains(name)) {
             return;
         }
-        awaitingAttempt.add(name);
-        startAttempts();
-    }
-
-    private void startAttempts() {
-        while (runningAttempts < MAX_CONNECTION_ATTEMPTS && !awaitingAttempt.isEmpty()) {
-            MemberName name = awaitingAttempt.iterator().next();
-            awaitingAttempt.remove(name);
-            attempt(name);
-        }
+        attempts.request(name);
     }
 
-    private void attempt(MemberName name) {
+    private void attempt(MemberName name, Runnable ended) {
         Member member = membersToConnect.get(name);
         if (stopped || member == null || connectionByName.containsKey(name) || !connecting.add(name)) {
+            ended.run();
             return;
         }
-        Runnable endAttempt = occupyAttemptSlot();
         controlExecutor.whenDone(open(member), (connection, failure) -> {
-            endAttempt.run();
+            ended.run();
             if (failure != null) {
                 connecting.remove(name);
                 scheduleReconnect(name);
@@ -404,20 +386,6 @@
         });
     }
 
-    /** Returns the action that makes room for the next attempt, which runs at the latest after the slot time. */
-    private Runnable occupyAttemptSlot() {
-        runningAttempts++;
-        AtomicBoolean occupied = new AtomicBoolean(true);
-        Runnable end = () -> {
-            if (occupied.getAndSet(false)) {
-                runningAttempts--;
-                startAttempts();
-            }
-        };
-        controlExecutor.schedule(ATTEMPT_SLOT_TIME, end);
-        return end;
-    }
-
     private CompletableFuture<Connection> open(Member member) {
         try {
             return connector.connect(member, this);
