Drop requests whose client has left while they waited unread

Cause: the entry handled requests in the order in which they had arrived seconds before. It placed the tasks of each, noticed the end of its connection only when the thread came round to that, and stopped the tasks again, by which time the next callers had left as well. The request now waits until the HTTP thread has looked at its connections once more; one whose connection has ended costs no more than its parsing.

Test: aRequestWhoseClientLeftWhileTheServerWasBusyIsNotHandled failed before (3 requests handled, 2 expected).

A request waits for two selections more, which a saturated thread of 0.12 of a core makes long.

--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -30,6 +30,8 @@
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.http.util.Header;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.SelectorHandler;
+import org.glassfish.grizzly.nio.SelectorRunner;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.gypsumflow.model.ErrorCode;
@@ -413,11 +415,43 @@
                 body,
                 disconnected);
         RequestHandler pathHandler = handler.map(Map.Entry::getValue).orElse(defaultHandler);
-        invoke(handlersByPort.getOrDefault(request.getLocalPort(), pathHandler), serverRequest)
-                .whenComplete((serverResponse, failure) -> {
-                    connection.removeCloseListener(closeListener);
-                    writeAndResume(response, failure == null ? serverResponse : errorResponse(toRequestError(failure)));
-                });
+        RequestHandler requestHandler = handlersByPort.getOrDefault(request.getLocalPort(), pathHandler);
+        afterNextSelection((NIOConnection) connection, () -> {
+            if (disconnected.isDone()) {
+                return;
+            }
+            invoke(requestHandler, serverRequest).whenComplete((serverResponse, failure) -> {
+                connection.removeCloseListener(closeListener);
+                writeAndResume(response, failure == null ? serverResponse : errorResponse(toRequestError(failure)));
+            });
+        });
+    }
+
+    /**
+     * Runs an action once the server's thread has looked at its connections again. After an overload many clients have left
+     * while their requests waited unread; the end of such a connection is read by then, and the request needs no work.
+     */
+    private void afterNextSelection(NIOConnection connection, Runnable action) {
+        SelectorHandler selectorHandler = transport().getSelectorHandler();
+        SelectorRunner thread = connection.getSelectorRunner();
+        // A task that the server's thread adds runs before its next selection, and one that such a task adds after it.
+        selectorHandler.enque(
+                thread,
+                () -> {
+                    selectorHandler.enque(thread, () -> runSafely(action), null);
+                    return true;
+                },
+                null);
+    }
+
+    /** Returns true, which has the server's thread go on with its other tasks. */
+    private boolean runSafely(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | Error failure) {
+            events.write(Event.INTERNAL_ERROR, "an HTTP request", failure);
+        }
+        return true;
     }
 
     private Optional<Map.Entry<HandlerKey, RequestHandler>> findHandler(String method, String path) {
--- a/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
+++ b/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
@@ -14,7 +14,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.gypsumflow.http.GrizzlyHttpServer.ServerResponse;
@@ -135,6 +137,48 @@
         }
     }
 
+    // Guards against a server that never recovers from an overload: it handled requests whose clients had left while
+    // their
+    // requests waited, so that those of the others waited as long.
+    @Test(timeOut = 60_000)
+    public void aRequestWhoseClientLeftWhileTheServerWasBusyIsNotHandled() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch clientLeft = new CountDownLatch(1);
+        AtomicInteger handled = new AtomicInteger();
+        server.addHandler("POST", "/busy", request -> {
+            busy.countDown();
+            Uninterruptibles.awaitUninterruptibly(clientLeft);
+            return CompletableFuture.completedFuture(ServerResponse.text(200, ""));
+        });
+        server.addHandler("POST", "/counted", request -> {
+            handled.incrementAndGet();
+            return CompletableFuture.completedFuture(ServerResponse.text(200, ""));
+        });
+        CompletableFuture<ClientResponse> first;
+        try (Socket leaving = openConnection()) {
+            first = post("/busy");
+            assertTrue(busy.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS));
+            sendInTwoParts(leaving.getOutputStream(), "/counted", 100);
+        }
+        clientLeft.countDown();
+        assertEquals(first.join().status(), 200);
+        assertEquals(post("/counted").join().status(), 200);
+        assertEquals(post("/counted").join().status(), 200);
+        assertEquals(handled.get(), 2);
+    }
+
+    /** Opens a connection that the server has accepted. */
+    private Socket openConnection() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        sendInTwoParts(socket.getOutputStream(), "/length", 100);
+        readBody(socket.getInputStream());
+        return socket;
+    }
+
+    private CompletableFuture<ClientResponse> post(String path) {
+        return httpClient.post("http://127.0.0.1:" + port + path, Map.of(), new byte[0], TIMEOUT);
+    }
+
     private static void sendInTwoParts(OutputStream output, String path, int length) throws IOException {
         String head = "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\n";
         output.write(head.getBytes(StandardCharsets.UTF_8));
