Look for a pause before a take-over and before held jobs start

Shown here: an entry waits for the time after which a lost owner's runs have ended; if it was paused when that time passed, the timer started the job at once, before anything had looked for the pause, although a third entry may have taken the job over meanwhile. Messages, requests and the periodic tick looked for a pause, timers did not.

Now both timers of the entry look first: the job is held back, the peers are asked for their jobs, and what one of them has goes through the usual handover.

Before: anEntryThatWasPausedBeforeATakeOverAsksItsPeersFirst failed (one task assigned at once). The test of the release of held jobs passed before as well, since the tick happens to run first there; the order is no longer left to chance.

--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -164,6 +164,10 @@
 
     /** Starts the jobs that were held back, unless a peer told meanwhile that it is about to start them as well. */
     private void release(String reason) {
+        detectPause();
+        if (barrier.isUp()) {
+            return;
+        }
         List<Submission> submissions = handovers.releaseHeldBack();
         events.write(Event.JOBS_RELEASED, reason, submissions.size());
         submissions.forEach(this::accept);
@@ -254,6 +258,7 @@
     }
 
     private void handoverCompleted(JobId job, MemberName owner, long requestedNanos, List<Submission> submissions) {
+        detectPause();
         jobOwners.remove(job, owner, requestedNanos);
         submissions.forEach(this::accept);
     }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -605,6 +605,37 @@
         assertTrue(assignments().isEmpty());
     }
 
+    // Guards against two runs of one task: the entry was paused just before it started the jobs that it had held, and a
+    // peer had taken one over meanwhile.
+    @Test
+    public void anEntryThatWasPausedBeforeItReleasesHeldJobsAsksItsPeersAgain() {
+        restartEntry();
+        submit(JOB);
+        executor.advance(190);
+        connectPeer();
+        tellJobsOfPeer();
+        executor.advanceClockOnly(3000);
+        executor.advance(1);
+        assertTrue(assignments().isEmpty());
+        tellJobsOfPeer(JOB);
+        executor.advance(BestEffortTimings.REPORT_INTERVAL.toMillis());
+        assertTrue(assignments().isEmpty());
+    }
+
+    // Guards against two runs of one task: the time after which a lost owner's runs have ended passed during a pause.
+    @Test
+    public void anEntryThatWasPausedBeforeATakeOverAsksItsPeersFirst() {
+        RecordingConnection otherPeer = connectOtherPeer();
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        disconnect(PEER, Member.Role.ENTRY);
+        submit(JOB);
+        executor.advance(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.toMillis() - 50);
+        executor.advanceClockOnly(1000);
+        executor.advance(1);
+        assertTrue(assignments().isEmpty());
+        assertFalse(sentTo(otherPeer, RequestJobs.class).isEmpty());
+    }
+
     // Guards against two runs of one task: the entry counted its own pause as silence of the peer.
     @Test
     public void theTimeThatAJobIsHeldCountsAnewAfterAPause() {
