--- a/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
+++ b/src/main/java/org/gypsumflow/daemon/SingleThreadExecutor.java
@@ -42,7 +42,7 @@
     /**
      * Creates an executor on a thread that others use as well, such as that of a transport.
      *
-     * @param thread executes actions one at a time
+     * @param thread executes actions one at a time; its owner ends it, so that this executor need not be closed
      * @param name name of the executor in log events
      * @param events receives an event for each action that throws an exception or an error
      * @return the executor
