--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 exec java -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host -cp "target/review:target/lib/*" \
-    review.LateCopyAfterCancel review/3
+    review.SilentStoreChannels review/3
--- a/review/standins/WorkerStandIn.java
+++ b/review/standins/WorkerStandIn.java
@@ -18,13 +18,17 @@
 
 /**
  * Stand-in for a worker: it starts and stops tasks, keeps the lease, lists what runs and what has ended, and reports itself
- * to its agent. A task takes as long as its specification says, as in "ms=2000".
+ * to its agent: every heartbeat interval, and again soon if a report was not acknowledged. A task takes as long as its
+ * specification says, as in "ms=2000".
  */
 final class WorkerStandIn {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long HOLD_MAX_MILLIS = 1000;
     private static final long HEARTBEAT_MILLIS = 1500;
+    private static final long REPORT_AGAIN_MILLIS = 100;
+    private static final long EXPIRY_CHECK_MILLIS = 2;
     private static final long STOP_MILLIS = 20;
+    private static final long LATE_MILLIS = 2000;
 
     /** One run of a task, with the seconds of the record at which it began and ended. */
     static final class Run {
@@ -68,6 +72,8 @@
     private long highestToken;
     private long leaseUntilMillis;
     private volatile long lastReportNanos;
+    private String lateTask = "";
+    private int lateOrdersLeft;
 
     WorkerStandIn(
             String id, String zone, String service, int cpu, int reportsPort, Record record, List<Run> history)
@@ -83,8 +89,11 @@
         this.bornNanos = System.nanoTime();
         this.server = Http.start(0, this::handle);
         this.port = server.getAddress().getPort();
-        loop(2, this::expire);
-        loop(HEARTBEAT_MILLIS, this::report);
+        loop(() -> {
+            expire();
+            return EXPIRY_CHECK_MILLIS;
+        });
+        loop(() -> report() ? HEARTBEAT_MILLIS : REPORT_AGAIN_MILLIS);
     }
 
     /** Milliseconds until the next report of the worker about itself. */
@@ -108,6 +117,12 @@
                         reason.isEmpty() ? clock() + "}" : clock() + ",\"reason\":\"" + reason + "\"}");
             }
             case "/run-stop" -> {
+                if (isCarriedOutLate(body)) {
+                    pause(LATE_MILLIS);
+                    stop(body);
+                    endStopped(body.path("task").asText(), body.path("run").asInt());
+                    return;
+                }
                 boolean fenced = stop(body);
                 pause(STOP_MILLIS);
                 endStopped(body.path("task").asText(), body.path("run").asInt());
@@ -118,6 +133,26 @@
         }
     }
 
+    /** The next stop orders for one of the tasks of a job that run get no answer, and are carried out late. */
+    synchronized void carryOutLate(String job, int orders) {
+        lateTask = running.keySet().stream()
+                .filter(task -> task.startsWith(job + "."))
+                .findFirst()
+                .orElseThrow();
+        lateOrdersLeft = orders;
+    }
+
+    private synchronized boolean isCarriedOutLate(JsonNode body) {
+        String task = body.path("task").asText();
+        boolean late = task.equals(lateTask) && lateOrdersLeft > 0;
+        if (late) {
+            lateOrdersLeft--;
+        }
+        record.add("worker " + id + " gets the order to stop " + task
+                + (late ? ", does not answer and carries it out " + LATE_MILLIS + " ms later" : ""));
+        return late;
+    }
+
     private synchronized String clock() {
         return "{\"clockMs\":" + clockMillis() + ",\"born\":" + born;
     }
@@ -231,7 +266,7 @@
         notifyAll();
     }
 
-    private synchronized boolean expire() {
+    private synchronized void expire() {
         long now = clockMillis();
         List.copyOf(running.values()).forEach(run -> {
             if (now >= run.endsAtMillis) {
@@ -240,7 +275,6 @@
                 end(run.task, "lapsed");
             }
         });
-        return true;
     }
 
     private boolean report() {
@@ -266,19 +300,15 @@
         }
     }
 
+    /** Does something again and again, and returns after how many milliseconds the next time is due. */
     private interface Step {
-        boolean run();
+        long run();
     }
 
-    private static void loop(long pauseMillis, Step step) {
+    private static void loop(Step step) {
         Thread thread = new Thread(() -> {
-            while (true) {
-                step.run();
-                try {
-                    Thread.sleep(pauseMillis);
-                } catch (InterruptedException interrupted) {
-                    return;
-                }
+            while (!Thread.currentThread().isInterrupted()) {
+                pause(step.run());
             }
         });
         thread.setDaemon(true);
