--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -nowarn -d target/review -cp "target/lib/*" review/standins/*.java
+javac -nowarn -d target/review -cp "target/lib/*" review/*.java
