Keep the owner of a job for as long as a run of it may be left

What callers saw: a job that had run for over 15 s when its connection was reset, sent again to another entry, was started there at once.

Cause: an entry announces a job once, when it accepts it, and its peers forgot the owner 15 s later; beyond 45,000 jobs the oldest owner was evicted at once. Neither says anything about the job's runs.

Why this works: the owner repeats the announcement every 2.5 s while a run may be left, also of jobs that have an outcome, and peers forget it 10 s after the last one. Until then either the owner has announced it again or its runs have ended, which BestEffortTimingsTest states as a sum. A job that another entry takes over is announced by that one from its request on; if that one is lost, the former owner announces it again.

--- a/src/main/java/org/gypsumflow/command/BestEffortTimings.java
+++ b/src/main/java/org/gypsumflow/command/BestEffortTimings.java
@@ -86,6 +86,19 @@
     public static final int ENTRIES_AT_FULL_RATE = 6;
     /** Longest time after which an entry tells the others which jobs it accepted; they are sent again after 1,300 ms. */
     public static final Duration MAX_ANNOUNCEMENT_INTERVAL = Duration.ofMillis(200);
+    /**
+     * Time after which an entry announces a job again while a run of it may be left; at most twice this time passes
+     * between two announcements of a job.
+     */
+    public static final Duration REPEATED_ANNOUNCEMENT_INTERVAL = Duration.ofMillis(2500);
+    /**
+     * Time since the last announcement of a job after which its owner is forgotten.
+     *
+     * <p>A live owner has announced the job again before, or no run of it is left. If the owner is lost, its runs have
+     * ended: 2 x 2,500 ms without an announcement, 200 ms until it is sent, and {@link #TAKE_OVER_AFTER_LAST_MESSAGE},
+     * by a clock that is 2 % slow, are 7,857 ms.
+     */
+    public static final Duration JOB_OWNERSHIP_LIFETIME = Duration.ofSeconds(10);
     /** Multiple of the latency objective after which a result has no value for its caller. */
     public static final double HARD_DEADLINE_FACTOR = 3.0;
 
--- a/src/main/java/org/gypsumflow/command/JobOwnerCache.java
+++ b/src/main/java/org/gypsumflow/command/JobOwnerCache.java
@@ -1,6 +1,6 @@
 package org.gypsumflow.command;
 
-import java.time.Duration;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -8,25 +8,21 @@
 import org.gypsumflow.model.MemberName;
 
 /**
- * Caches which peer accepted a best-effort job last. An entry that receives such a job asks its owner to abandon it
+ * Caches which peer announced a best-effort job last. An entry that receives such a job asks its owner to abandon it
  * before starting it, so that a job sent again to another entry does not run twice at the same time.
+ *
+ * <p>An owner repeats its announcement while a run of the job may be left. Only a job without an announcement for {@link
+ * BestEffortTimings#JOB_OWNERSHIP_LIFETIME} is evicted: however many jobs there are, none of a live owner is.
  */
 public final class JobOwnerCache {
-    /** How long a job is cached; longer than any caller waits before sending it again. */
-    private static final Duration OWNERSHIP_LIFETIME = Duration.ofSeconds(15);
-    /** Maximum number of cached jobs: 15 seconds at 3,000 jobs per second; the oldest are evicted first. */
-    private static final int MAX_JOBS = 45_000;
-
-    private record Ownership(MemberName owner, long acceptedNanos) {}
-
-    private final Map<JobId, Ownership> jobs = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, Ownership> eldest) {
-            return size() > MAX_JOBS;
+    private record Ownership(MemberName owner, long announcedNanos) {
+        private boolean hasExpired(long nowNanos) {
+            return nowNanos - announcedNanos >= BestEffortTimings.JOB_OWNERSHIP_LIFETIME.toNanos();
         }
-    };
+    }
+
+    /** Ownerships in the order of their last announcements. */
+    private final Map<JobId, Ownership> jobs = new LinkedHashMap<>();
 
     private JobOwnerCache() {}
 
@@ -40,27 +36,28 @@
     }
 
     /**
-     * Records that a peer accepted a job and replaces an earlier owner.
+     * Records that a peer announced a job, and replaces an earlier owner.
      *
-     * @param entry the peer
+     * @param owner the peer
      * @param job id of the job
      * @param nowNanos current monotonic time
      */
-    public void recordAccepted(MemberName entry, JobId job, long nowNanos) {
+    public void recordOwner(MemberName owner, JobId job, long nowNanos) {
+        evictExpired(nowNanos);
         jobs.remove(job);
-        jobs.put(job, new Ownership(entry, nowNanos));
+        jobs.put(job, new Ownership(owner, nowNanos));
     }
 
     /**
-     * Returns the peer that accepted a job last.
+     * Returns the peer that announced a job last.
      *
      * @param job id of the job
      * @param nowNanos current monotonic time
-     * @return the owner, or empty if no peer accepted the job within the last 15 seconds
+     * @return the owner, or empty if no peer announced the job within the lifetime of an ownership
      */
     public Optional<MemberName> ownerOf(JobId job, long nowNanos) {
         return Optional.ofNullable(jobs.get(job))
-                .filter(ownership -> nowNanos - ownership.acceptedNanos < OWNERSHIP_LIFETIME.toNanos())
+                .filter(ownership -> !ownership.hasExpired(nowNanos))
                 .map(Ownership::owner);
     }
 
@@ -69,12 +66,19 @@
      *
      * @param job id of the job
      * @param owner the peer that abandoned it
-     * @param requestedNanos monotonic time at which it was asked; if it accepted the job again later, it is kept
+     * @param requestedNanos monotonic time at which it was asked; if it announced the job again later, it is kept
      */
     public void remove(JobId job, MemberName owner, long requestedNanos) {
         Ownership ownership = jobs.get(job);
-        if (ownership != null && ownership.owner.equals(owner) && ownership.acceptedNanos - requestedNanos <= 0) {
+        if (ownership != null && ownership.owner.equals(owner) && ownership.announcedNanos - requestedNanos <= 0) {
             jobs.remove(job);
         }
     }
+
+    private void evictExpired(long nowNanos) {
+        Iterator<Ownership> oldestFirst = jobs.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().hasExpired(nowNanos)) {
+            oldestFirst.remove();
+        }
+    }
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.JobDispatcher;
@@ -72,6 +73,8 @@
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
     private long lastAnnouncementNanos;
+    private long lastRepetitionNanos;
+    private Set<JobId> unendedAtLastRepetition = Set.of();
     private boolean stopped;
 
     private BestEffortEntry(
@@ -90,7 +93,7 @@
         this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
-        this.peers = new PeerPaths(time, this::peerPathOpened, handovers::peerPathClosed, events);
+        this.peers = new PeerPaths(time, this::peerPathOpened, this::peerPathClosed, events);
         this.dispatcher = JobDispatcher.create(
                 capacityTracker,
                 placementPolicy,
@@ -129,6 +132,7 @@
             handovers.tick();
             dispatcher.tick(time.nanoTime());
             announceAcceptedJobs();
+            repeatAnnouncements();
             completeDrainIfIdle();
             return !stopped;
         });
@@ -290,7 +294,7 @@
 
     /** Exchanges the jobs with a peer: either side may have restarted, and the peer may not know of this path. */
     private void peerPathOpened(MemberName peer, PeerPath path) {
-        List<JobId> jobs = dispatcher.unendedJobs();
+        List<JobId> jobs = unendedJobs();
         if (!jobs.isEmpty()) {
             path.send(new ShareJobs(jobs));
         }
@@ -298,6 +302,31 @@
         handovers.peerPathOpened(peer);
     }
 
+    private void peerPathClosed(MemberName peer, long lastMessageNanos) {
+        handovers.peerPathClosed(peer, lastMessageNanos);
+        executor.schedule(BestEffortTimings.REPORT_INTERVAL, () -> announceJobsTakenOverBy(peer));
+    }
+
+    /** Announces the jobs that a lost peer had taken over: their former runs may not have ended yet. */
+    private void announceJobsTakenOverBy(MemberName lostPeer) {
+        if (peers.pathTo(lostPeer).isPresent()) {
+            return;
+        }
+        List<JobId> jobs = unendedJobs().stream()
+                .filter(job -> jobOwners.ownerOf(job, time.nanoTime()).equals(Optional.of(lostPeer)))
+                .toList();
+        if (!jobs.isEmpty()) {
+            peers.sendToAll(new ShareJobs(jobs));
+        }
+    }
+
+    /** Returns the jobs of which a run may be left because of this entry, and those that it takes over from a peer. */
+    private List<JobId> unendedJobs() {
+        return Stream.concat(dispatcher.unendedJobs().stream(), handovers.jobsTakenOver().stream())
+                .distinct()
+                .toList();
+    }
+
     private void announceAcceptedJobs() {
         long sinceLast = time.nanoTime() - lastAnnouncementNanos;
         boolean due = peers.reachablePeers().size() < BestEffortTimings.ENTRIES_AT_FULL_RATE
@@ -311,6 +340,37 @@
         unannouncedJobs.clear();
     }
 
+    /**
+     * Announces again the jobs that have not ended since the last repetition, before the peers forget their owner. Jobs
+     * that last for less are not repeated.
+     */
+    private void repeatAnnouncements() {
+        long nowNanos = time.nanoTime();
+        if (nowNanos - lastRepetitionNanos < BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL.toNanos()) {
+            return;
+        }
+        lastRepetitionNanos = nowNanos;
+        List<JobId> unended = unendedJobs();
+        List<JobId> repeated = unended.stream()
+                .filter(unendedAtLastRepetition::contains)
+                .filter(job -> !isTakenOver(job))
+                .toList();
+        unendedAtLastRepetition = Set.copyOf(unended);
+        if (!repeated.isEmpty()) {
+            peers.sendToAll(new ShareJobs(repeated));
+        }
+    }
+
+    /** Returns whether a reachable peer has taken over a job of which only former runs are left here. */
+    private boolean isTakenOver(JobId job) {
+        return !dispatcher.isActive(job)
+                && !handovers.isPending(job)
+                && jobOwners
+                        .ownerOf(job, time.nanoTime())
+                        .flatMap(peers::pathTo)
+                        .isPresent();
+    }
+
     /**
      * Cancels a job at this entry and at all peers.
      *
@@ -417,7 +477,7 @@
         } else if (message instanceof ShareJobs share) {
             recordOwner(from, share.acceptedJobs());
         } else if (message instanceof RequestJobs request) {
-            replyPath.ifPresent(path -> path.send(new JobList(request.number(), dispatcher.unendedJobs())));
+            replyPath.ifPresent(path -> path.send(new JobList(request.number(), unendedJobs())));
         } else if (message instanceof JobList list) {
             recordOwner(from, list.jobs());
             barrier.jobsTold(from, list.number());
@@ -426,7 +486,7 @@
     }
 
     private void recordOwner(MemberName owner, List<JobId> jobs) {
-        jobs.forEach(job -> jobOwners.recordAccepted(owner, job, time.nanoTime()));
+        jobs.forEach(job -> jobOwners.recordOwner(owner, job, time.nanoTime()));
     }
 
     @Override
@@ -458,7 +518,7 @@
         }
         boolean wasActive = dispatcher.abandon(job);
         handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
-        jobOwners.recordAccepted(from, job, time.nanoTime());
+        jobOwners.recordOwner(from, job, time.nanoTime());
         JobAbandoned reply = new JobAbandoned(job, wasActive);
         replyPath.ifPresent(
                 path -> handovers.whenCompleted(job, from, () -> dispatcher.whenEnded(job, () -> path.send(reply))));
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -133,6 +133,19 @@
                 .toList();
     }
 
+    /** Returns the jobs whose owners have been asked to abandon them, and whose runs may not have ended. */
+    List<JobId> jobsTakenOver() {
+        return handovers.values().stream()
+                .filter(handover -> handover.owner.isPresent())
+                .map(handover -> handover.job)
+                .toList();
+    }
+
+    /** Returns whether the handover of a job from its owner has not completed. */
+    boolean isPending(JobId job) {
+        return handovers.containsKey(job) && handovers.get(job).owner.isPresent();
+    }
+
     /** Returns whether a submission waits for a job. */
     boolean isAwaited(JobId job) {
         return handovers.containsKey(job) && !handovers.get(job).submissions.isEmpty();
--- a/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
+++ b/src/test/java/org/gypsumflow/command/BestEffortTimingsTest.java
@@ -152,4 +152,14 @@
                 .plus(BestEffortTimings.MAX_STOP_TIME);
         assertTrue(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE.compareTo(runsEndedAfter) >= 0);
     }
+
+    // Guards against a second start of a job whose owner is forgotten while a run of it is left.
+    @Test
+    public void anOwnerIsForgottenOnlyWhenItHasAnnouncedItsJobAgainOrItsRunsHaveEnded() {
+        Duration runsEndedAfter = bySlowClock(BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL
+                .multipliedBy(2)
+                .plus(BestEffortTimings.REPORT_INTERVAL.multipliedBy(2))
+                .plus(BestEffortTimings.TAKE_OVER_AFTER_LAST_MESSAGE));
+        assertTrue(BestEffortTimings.JOB_OWNERSHIP_LIFETIME.compareTo(runsEndedAfter) > 0);
+    }
 }
--- a/src/test/java/org/gypsumflow/command/JobOwnerCacheTest.java
+++ b/src/test/java/org/gypsumflow/command/JobOwnerCacheTest.java
@@ -16,17 +16,17 @@
     @Test
     public void theEntryThatAcceptedAJobLastIsItsOwner() {
         JobOwnerCache cache = JobOwnerCache.create();
-        cache.recordAccepted(ONE, JOB, 0);
-        cache.recordAccepted(TWO, JOB, 1);
+        cache.recordOwner(ONE, JOB, 0);
+        cache.recordOwner(TWO, JOB, 1);
         assertEquals(cache.ownerOf(JOB, 2), Optional.of(TWO));
     }
 
     @Test
     public void aJobIsRemovedAfterItsLifetimeOrWhenAbandoned() {
         JobOwnerCache cache = JobOwnerCache.create();
-        cache.recordAccepted(ONE, JOB, 0);
+        cache.recordOwner(ONE, JOB, 0);
         assertEquals(cache.ownerOf(JOB, Duration.ofSeconds(16).toNanos()), Optional.empty());
-        cache.recordAccepted(ONE, JOB, 0);
+        cache.recordOwner(ONE, JOB, 0);
         cache.remove(JOB, ONE, 0);
         assertEquals(cache.ownerOf(JOB, 1), Optional.empty());
     }
@@ -35,12 +35,35 @@
     @Test
     public void anOwnerThatAcceptedAJobAfterTheRequestToTheFormerOneIsKept() {
         JobOwnerCache cache = JobOwnerCache.create();
-        cache.recordAccepted(ONE, JOB, 0);
-        cache.recordAccepted(TWO, JOB, 1);
+        cache.recordOwner(ONE, JOB, 0);
+        cache.recordOwner(TWO, JOB, 1);
         cache.remove(JOB, ONE, 2);
         assertEquals(cache.ownerOf(JOB, 2), Optional.of(TWO));
-        cache.recordAccepted(ONE, JOB, 3);
+        cache.recordOwner(ONE, JOB, 3);
         cache.remove(JOB, ONE, 2);
         assertEquals(cache.ownerOf(JOB, 3), Optional.of(ONE));
     }
+
+    // Guards against two runs of one task: an owner was forgotten when many other jobs had been accepted since.
+    @Test
+    public void anOwnerIsNotForgottenBeforeItsLifetimeHoweverManyJobsAreAnnounced() {
+        JobOwnerCache cache = JobOwnerCache.create();
+        cache.recordOwner(ONE, JOB, 0);
+        for (int other = 1; other <= 60_000; other++) {
+            cache.recordOwner(TWO, JobId.of(String.format("%016x", 0xf000_0000L + other)), other);
+        }
+        assertEquals(cache.ownerOf(JOB, 60_001), Optional.of(ONE));
+    }
+
+    @Test
+    public void anOwnerThatAnnouncesItsJobAgainIsKept() {
+        JobOwnerCache cache = JobOwnerCache.create();
+        long halfLifetime =
+                BestEffortTimings.JOB_OWNERSHIP_LIFETIME.dividedBy(2).toNanos();
+        for (long nowNanos = 0; nowNanos < 10 * halfLifetime; nowNanos += halfLifetime) {
+            cache.recordOwner(ONE, JOB, nowNanos);
+        }
+        assertEquals(cache.ownerOf(JOB, 10 * halfLifetime), Optional.of(ONE));
+        assertEquals(cache.ownerOf(JOB, 12 * halfLifetime), Optional.empty());
+    }
 }
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -174,6 +174,59 @@
         assertEquals(peer.sent(), List.of(new ShareJobs(List.of(JobId.of("00000000000000a4")))));
     }
 
+    // Guards against two runs of one task: peers forget the owner of a job that is announced only when it is accepted.
+    @Test
+    public void aJobIsAnnouncedAgainAsLongAsARunOfItMayBeLeft() {
+        submit(JOB);
+        executor.advance(BestEffortTimings.MAX_ANNOUNCEMENT_INTERVAL.toMillis());
+        long longestGap = BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL
+                .multipliedBy(2)
+                .plus(BestEffortTimings.REPORT_INTERVAL.multipliedBy(2))
+                .toMillis();
+        for (int gap = 0; gap < 6; gap++) {
+            peer.sent().clear();
+            executor.advance(longestGap);
+            assertTrue(sentTo(peer, ShareJobs.class).contains(new ShareJobs(List.of(JOB))), "gap " + gap);
+        }
+        report(assignments().get(0), RunOutcome.LOST);
+        peer.sent().clear();
+        executor.advance(longestGap);
+        assertEquals(sentTo(peer, ShareJobs.class), List.of());
+    }
+
+    @Test
+    public void aJobThatEndsWithinTheIntervalOfRepeatedAnnouncementsIsAnnouncedOnce() {
+        executor.advance(BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL.toMillis() - 300);
+        submit(JOB);
+        executor.advance(600);
+        report(assignments().get(0), RunOutcome.DONE);
+        executor.advance(BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL.toMillis() * 3);
+        assertEquals(sentTo(peer, ShareJobs.class), List.of(new ShareJobs(List.of(JOB))));
+    }
+
+    @Test
+    public void aJobThatAPeerHasTakenOverIsLeftToItsAnnouncementsUntilThePeerIsLost() {
+        RecordingConnection otherPeer = connectOtherPeer();
+        submit(JOB);
+        executor.advance(200);
+        entry.jobMessageReceived(PEER, new AbandonJob(JOB, false));
+        otherPeer.sent().clear();
+        executor.advance(6000);
+        assertEquals(sentTo(otherPeer, ShareJobs.class), List.of());
+        disconnect(PEER, Member.Role.ENTRY);
+        executor.advance(BestEffortTimings.REPORT_INTERVAL.toMillis() * 2);
+        assertEquals(sentTo(otherPeer, ShareJobs.class), List.of(new ShareJobs(List.of(JOB))));
+    }
+
+    @Test
+    public void anEntryThatAsksIsAlsoToldTheJobsThatAreBeingTakenOver() {
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        submit(JOB);
+        RecordingConnection otherPeer = connectOtherPeer();
+        entry.jobMessageReceived(OTHER_PEER, new RequestJobs(8));
+        assertEquals(sentTo(otherPeer, JobList.class), List.of(new JobList(8, List.of(JOB))));
+    }
+
     @Test
     public void anEntryAmongManyTellsThemOfItsJobsLessOftenButBeforeTheirCallersSendThemAgain() {
         for (int index = 0; index < 14; index++) {
--- a/src/test/java/org/gypsumflow/world/BestEffortInvariants.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortInvariants.java
@@ -30,16 +30,23 @@
     }
 
     private void checkNoTwoRunsAtTheSameTime() {
+        overlappingRuns(history.simulation().runs).forEach(this::report);
+    }
+
+    /** Returns a line for each two runs of one task that were there at the same time. */
+    static List<String> overlappingRuns(List<Run> runs) {
+        List<String> overlaps = new ArrayList<>();
         Map<BestEffortTaskId, List<Run>> runsByTask = new HashMap<>();
-        for (Run run : history.simulation().runs) {
+        for (Run run : runs) {
             List<Run> earlierRuns = runsByTask.computeIfAbsent(run.task, task -> new ArrayList<>());
             for (Run earlier : earlierRuns) {
                 if (earlier.overlaps(run)) {
-                    report("two runs at the same time: " + earlier + "; " + run);
+                    overlaps.add("two runs at the same time: " + earlier + "; " + run);
                 }
             }
             earlierRuns.add(run);
         }
+        return overlaps;
     }
 
     private void checkRecovery() {
--- a/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
+++ b/src/test/java/org/gypsumflow/world/FakeWorkerHost.java
@@ -66,6 +66,7 @@
     private long sequence;
     private boolean draining;
     private FateSource fates = () -> Fate.ANSWERED;
+    private FateSource stopFates = () -> Fate.ANSWERED;
     private boolean closesIdleConnections;
     private long lastCallNanos;
     private int closedConnections;
@@ -100,6 +101,11 @@
         this.fates = newFates;
     }
 
+    /** Sets the fates of those stops that would be answered otherwise. */
+    void setStopFates(FateSource newFates) {
+        this.stopFates = newFates;
+    }
+
     void setClosesIdleConnections(boolean closes) {
         this.closesIdleConnections = closes;
     }
@@ -167,6 +173,7 @@
                     long fencingToken) {
                 return call(
                         process,
+                        drawFate(),
                         CALL_TIMEOUT,
                         "a start of " + task,
                         (target, response) -> response.complete(
@@ -175,8 +182,10 @@
 
             @Override
             public CompletableFuture<Void> stop(BestEffortTaskId task, RunNumber run, long fencingToken) {
+                Fate fate = drawFate();
                 return call(
                         process,
+                        fate == Fate.ANSWERED ? stopFates.next() : fate,
                         CALL_TIMEOUT,
                         "a stop of " + task,
                         (target, response) -> completeUnlessFenced(target.stop(task, run, fencingToken), response));
@@ -184,7 +193,8 @@
 
             @Override
             public CompletableFuture<TaskListing> renew(LeaseRenewal renewal) {
-                return call(process, CALL_TIMEOUT.plus(renewal.maxWait()), "a renewal", (target, response) -> {
+                Duration timeout = CALL_TIMEOUT.plus(renewal.maxWait());
+                return call(process, drawFate(), timeout, "a renewal", (target, response) -> {
                     if (!target.renew(renewal, response::complete)) {
                         response.completeExceptionally(WorkerClient.FencedException.create());
                     }
@@ -203,12 +213,12 @@
 
     private <T> CompletableFuture<T> call(
             MemberProcess process,
+            Fate fate,
             Duration timeout,
             String what,
             BiConsumer<FakeWorker, CompletableFuture<T>> execution) {
         CompletableFuture<T> result = new CompletableFuture<>();
         FakeWorker target = worker;
-        Fate fate = drawFate();
         if (target.isDead()) {
             fail(process, result, new ConnectException("connection refused"));
             return result;
