Keep the run numbers of a job until its former runs have ended

What could be seen: a job that ended early, whose run was still being stopped while 5,000 other jobs ended early at the same entry, started again with run number 1, so that its worker rejects the start as old and a late result of the former run counts for the new one.

The numbers were dropped by count, oldest first, also those of jobs with unended runs.

Evidence: JobDispatcherTest#runNumbersGoOnHoweverManyOtherJobsEndBefore- TheFormerRuns gets run 1 in place of 2 on the code before.

Why this works: a job with unended runs holds its next run number itself; it counts towards the limit from the end of the last run only.

--- a/src/main/java/org/gypsumflow/command/EndingJobs.java
+++ b/src/main/java/org/gypsumflow/command/EndingJobs.java
@@ -21,7 +21,10 @@
  * not start again, here or at another entry.
  */
 final class EndingJobs {
-    /** Number of ended jobs whose run numbers are kept: jobs that end early in more than 10 seconds at one entry. */
+    /**
+     * Number of jobs without runs whose next run numbers are kept: jobs that end early in more than 10 seconds at one
+     * entry.
+     */
     private static final int MAX_ENDED_JOBS = 5_000;
 
     /** A run that may not have ended yet. */
@@ -30,10 +33,12 @@
     private static final class EndingJob {
         private final Map<UnendedRun, OptionalLong> endNanosByRun = new HashMap<>();
         private final List<Runnable> endListeners = new ArrayList<>();
+        private RunNumber nextRunNumber = RunNumber.FIRST;
     }
 
     private final Map<JobId, EndingJob> jobs = new HashMap<>();
     private final List<Runnable> dueListeners = new ArrayList<>();
+    /** Next run numbers of jobs whose runs have all ended; an ending job has its own. */
     private final Map<JobId, RunNumber> nextRunNumbers = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
@@ -52,19 +57,27 @@
      */
     void add(JobId job, Map<UnendedRun, OptionalLong> runs) {
         if (!runs.isEmpty()) {
-            jobs.computeIfAbsent(job, id -> new EndingJob()).endNanosByRun.putAll(runs);
+            EndingJob ending = jobs.computeIfAbsent(job, id -> new EndingJob());
+            ending.endNanosByRun.putAll(runs);
+            ending.nextRunNumber = nextRunNumbers.getOrDefault(job, ending.nextRunNumber);
         }
     }
 
     /** Sets the run number with which a job starts if it is submitted again, so that no result counts twice. */
     void recordNextRunNumber(JobId job, RunNumber next) {
+        EndingJob ending = jobs.get(job);
+        if (ending != null) {
+            ending.nextRunNumber = next;
+            return;
+        }
         nextRunNumbers.remove(job);
         nextRunNumbers.put(job, next);
     }
 
     /** Returns the number of the first run of a job, higher than those of its runs before. */
     RunNumber firstRunNumber(JobId job) {
-        return nextRunNumbers.getOrDefault(job, RunNumber.FIRST);
+        EndingJob ending = jobs.get(job);
+        return ending == null ? nextRunNumbers.getOrDefault(job, RunNumber.FIRST) : ending.nextRunNumber;
     }
 
     /** Returns whether a run of a job may not have ended yet. */
@@ -123,6 +136,7 @@
 
     private void removeIfEnded(JobId job, EndingJob ending) {
         if (ending.endNanosByRun.isEmpty() && jobs.remove(job, ending)) {
+            recordNextRunNumber(job, ending.nextRunNumber);
             dueListeners.addAll(ending.endListeners);
         }
     }
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -372,6 +372,25 @@
     }
 
     // Guards against a second start at the same entry while an agent that is out of contact may still run the task.
+    // Guards against a former run whose number counts again: many other jobs ended early while it was being stopped.
+    @Test
+    public void runNumbersGoOnHoweverManyOtherJobsEndBeforeTheFormerRuns() {
+        submit(1);
+        dispatcher.abandon(JOB);
+        for (int other = 1; other <= 6000; other++) {
+            JobId id = JobId.of(String.format("%016x", 0xf000_0000L + other));
+            BestEffortJob job =
+                    new BestEffortJob(id, ROUTE, 1, "text", 1, Resources.of(3000, 64, 0), Duration.ofMillis(300));
+            dispatcher.submit(job, millis(10), CALLER_TIMEOUT, outcomes::add);
+            Sent assigned = sent.get(sent.size() - 1);
+            dispatcher.abandon(id);
+            finish(assigned, RunOutcome.LOST, 10);
+        }
+        finish(sent.get(0), RunOutcome.LOST, 20);
+        submit(1, 30);
+        assertEquals(sent.get(sent.size() - 1).assignment().runNumber().value(), 2);
+    }
+
     @Test
     public void aJobSubmittedAgainWhileAnAgentOfItsFormerRunsIsLostStartsAfterTheReassignmentTime() {
         submit(1);
