Notice within 2.5 s that a connection to the store has gone silent

Cause: an entry follows the operator's records with reads that wait up to 20 s for a record and count as lost 1.5 s later. While one waits, nothing tells a quiet topic from a silent connection. The idle connections of the HTTP client go silent with the others, and the next read used one.

Why this works: a read waits for 1 s, is given up 1.5 s later and repeated at once on a new connection, since the idle ones are closed before the read fails. This ends before the shortest time after which a process counts as in touch again, 3 s. A connection that has carried a response since the request is kept, so that a single slow response costs no other connection.

--- a/src/main/java/org/gypsumflow/control/CompactedLogConsumer.java
+++ b/src/main/java/org/gypsumflow/control/CompactedLogConsumer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.gypsumflow.log.CompactedLog;
 import org.gypsumflow.log.CompactedLog.ExpiredException;
@@ -17,9 +18,13 @@
  * with the next records after a callback has thrown an exception, which is logged.
  */
 public final class CompactedLogConsumer {
-    /** Maximum time that a read waits for a record; calls are billed, and a long wait keeps a quiet topic cheap. */
-    private static final Duration MAX_READ_WAIT = Duration.ofSeconds(20);
-    /** Delay after a failed call; all processes share the log's rate limits. */
+    /**
+     * Maximum time that a read waits for a record. A connection may have gone silent while a read waits on it, which
+     * only the missing response shows: this time and {@link CompactedLog#RESPONSE_TIMEOUT} must end before the platform
+     * counts the process as in touch again, which is after 3 s.
+     */
+    static final Duration MAX_READ_WAIT = Duration.ofSeconds(1);
+    /** Delay after a call that failed at once; all processes share the log's rate limits. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
     private final CompactedLog log;
@@ -75,8 +80,7 @@
     private void readSnapshot() {
         controlExecutor.whenDone(log.readLatestByKey(topic), (page, failure) -> {
             if (failure != null) {
-                logUnreachable(failure);
-                controlExecutor.schedule(RETRY_DELAY, this::readSnapshot);
+                retry(failure, this::readSnapshot);
                 return;
             }
             logReachable();
@@ -101,8 +105,18 @@
             readSnapshot();
             return;
         }
+        retry(cause, this::readUpdates);
+    }
+
+    /** Repeats a failed read; one that got no response has waited for long enough. */
+    private void retry(Throwable failure, Runnable read) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         logUnreachable(cause);
-        controlExecutor.schedule(RETRY_DELAY, this::readUpdates);
+        if (cause instanceof TimeoutException) {
+            read.run();
+        } else {
+            controlExecutor.schedule(RETRY_DELAY, read);
+        }
     }
 
     private void acceptAndContinue(Consumer<Page> consumer, Page page) {
--- a/src/main/java/org/gypsumflow/http/HttpClient.java
+++ b/src/main/java/org/gypsumflow/http/HttpClient.java
@@ -10,9 +10,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
@@ -44,6 +46,9 @@
 /**
  * Asynchronous HTTP client with a pool of connections per server; a request is sent at most once, even if its
  * connection fails.
+ *
+ * <p>A connection may go silent without being closed. One whose response does not come in time is closed, together with
+ * those that have been idle since before the request: nothing shows that they work.
  */
 public final class HttpClient implements AutoCloseable {
     /** Maximum number of connections to one server, and so of its concurrent requests. */
@@ -67,13 +72,18 @@
 
     /** Connection pool of one server, with the exchanges that wait for a connection. */
     private static final class ServerPool {
-        private final Deque<Connection<?>> idleConnections = new ArrayDeque<>();
+        private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
         private final Deque<Exchange> waitingExchanges = new ArrayDeque<>();
         private int openConnections;
     }
 
+    private record IdleConnection(Connection<?> connection, long sinceNanos) {}
+
     private record Exchange(
-            InetSocketAddress address, HttpContent content, CompletableFuture<ClientResponse> response) {}
+            InetSocketAddress address,
+            HttpContent content,
+            CompletableFuture<ClientResponse> response,
+            long submittedNanos) {}
 
     private final TCPNIOTransport transport;
     private final boolean ownsTransport;
@@ -207,16 +217,46 @@
                 .last(true)
                 .build();
         CompletableFuture<ClientResponse> response = new CompletableFuture<>();
-        response.orTimeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
-        submit(new Exchange(new InetSocketAddress(uri.getHost(), uri.getPort()), content, response));
+        Exchange exchange =
+                new Exchange(new InetSocketAddress(uri.getHost(), uri.getPort()), content, response, System.nanoTime());
+        submit(exchange);
+        CompletableFuture<Void> timer = new CompletableFuture<>();
+        timer.completeOnTimeout(null, timeout.toNanos(), TimeUnit.NANOSECONDS).thenRun(() -> timedOut(exchange));
+        response.whenComplete((received, failure) -> timer.cancel(false));
         return response;
     }
 
+    /**
+     * Fails an exchange without a response. The idle connections are closed before that, so that a request which is sent
+     * because of the failure uses none of them.
+     */
+    private void timedOut(Exchange exchange) {
+        try {
+            closeConnectionsIdleSince(exchange.address, exchange.submittedNanos);
+        } finally {
+            exchange.response.completeExceptionally(new TimeoutException("no response in time"));
+        }
+    }
+
+    private void closeConnectionsIdleSince(InetSocketAddress address, long latestNanos) {
+        List<Connection<?>> unproven;
+        synchronized (poolsByAddress) {
+            Deque<IdleConnection> idleConnections = poolsByAddress.get(address).idleConnections;
+            unproven = idleConnections.stream()
+                    .filter(idle -> idle.sinceNanos - latestNanos <= 0)
+                    .<Connection<?>>map(IdleConnection::connection)
+                    .toList();
+            idleConnections.removeIf(idle -> unproven.contains(idle.connection));
+        }
+        unproven.forEach(Connection::closeSilently);
+    }
+
     private void submit(Exchange exchange) {
         Connection<?> connection;
         synchronized (poolsByAddress) {
             ServerPool pool = poolsByAddress.computeIfAbsent(exchange.address, address -> new ServerPool());
-            connection = pool.idleConnections.pollLast();
+            IdleConnection idle = pool.idleConnections.pollLast();
+            connection = idle == null ? null : idle.connection;
             if (connection == null && pool.openConnections >= maxConnectionsPerServer) {
                 pool.waitingExchanges.add(exchange);
                 return;
@@ -337,7 +377,7 @@
         CompletableFuture<ClientResponse> response =
                 PENDING_RESPONSE.get(connection).getAndSet(null);
         synchronized (poolsByAddress) {
-            poolsByAddress.get(address).idleConnections.remove(connection);
+            poolsByAddress.get(address).idleConnections.removeIf(idle -> idle.connection.equals(connection));
         }
         releaseConnection(address, null);
         if (response != null) {
@@ -354,7 +394,7 @@
                 next = pool.waitingExchanges.poll();
             } while (next != null && next.response.isDone());
             if (next == null && connection != null) {
-                pool.idleConnections.addLast(connection);
+                pool.idleConnections.addLast(new IdleConnection(connection, System.nanoTime()));
             }
             if (next == null && connection == null) {
                 pool.openConnections--;
--- a/src/main/java/org/gypsumflow/log/CompactedLog.java
+++ b/src/main/java/org/gypsumflow/log/CompactedLog.java
@@ -6,6 +6,12 @@
 
 /** A log of keyed records that retains the latest record of each key indefinitely. */
 public interface CompactedLog {
+    /**
+     * Time without a response, on top of the wait that a read asks for, after which a call fails with a {@link
+     * java.util.concurrent.TimeoutException}.
+     */
+    Duration RESPONSE_TIMEOUT = Duration.ofMillis(1500);
+
     /**
      * A record of a topic.
      *
@@ -60,7 +66,8 @@
      * @param fromOffset offset of the first record to read
      * @param maxWait maximum time that the log waits for a record
      * @return the records, possibly none; fails with an {@link ExpiredException} if records from the offset on have
-     *     been deleted
+     *     been deleted, and with a {@link java.util.concurrent.TimeoutException} if there is no response within the wait
+     *     and {@link #RESPONSE_TIMEOUT}
      */
     CompletableFuture<Page> read(String topic, long fromOffset, Duration maxWait);
 
--- a/src/main/java/org/gypsumflow/platform/HttpCompactedLog.java
+++ b/src/main/java/org/gypsumflow/platform/HttpCompactedLog.java
@@ -23,8 +23,6 @@
 public final class HttpCompactedLog implements CompactedLog {
     private static final int OK = 200;
     private static final int GONE = 410;
-    /** Timeout of a request, on top of the wait that it asks the store for; the store usually takes 4 ms. */
-    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(1500);
 
     /** Prefix of the names of compacted topics, in which the store keeps the latest record of each key. */
     private static final String COMPACTED_PREFIX = "keyed.";
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -91,6 +91,8 @@
         this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
         this.barrier = JobBarrier.create(time.nanoTime());
+        this.lastAnnouncementNanos = time.nanoTime();
+        this.lastRepetitionNanos = time.nanoTime();
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
         this.peers = new PeerPaths(time, this::peerPathOpened, this::peerPathClosed, events);
--- a/src/test/java/org/gypsumflow/control/CompactedLogConsumerTest.java
+++ b/src/test/java/org/gypsumflow/control/CompactedLogConsumerTest.java
@@ -10,6 +10,9 @@
 import org.testng.annotations.Test;
 
 public final class CompactedLogConsumerTest {
+    /** The shortest time without a disruption after which the platform expects changes to be followed in time. */
+    private static final long SHORTEST_CONTACT_MILLIS = 3000;
+
     private final List<String> received = new ArrayList<>();
     private final List<Event> written = new ArrayList<>();
     private ManualCompactedLog log;
@@ -64,4 +67,34 @@
         assertEquals(received, List.of("first"));
         assertEquals(written, List.of(Event.INTERNAL_ERROR));
     }
+
+    // Guards against routes and closed zones that are followed late: the connection on which a read waits for a record
+    // has gone silent, which only the missing response shows.
+    @Test
+    public void aChangeIsReceivedBeforeTheProcessCountsAsInTouchAgainAfterItsConnectionsWentSilent() {
+        for (int phaseMillis = 0; phaseMillis < 1200; phaseMillis += 100) {
+            received.clear();
+            ManualExecutor clock = new ManualExecutor();
+            SilenceableLog silenceable = new SilenceableLog(clock);
+            CompactedLogConsumer.create(
+                            silenceable, "topic", clock, this::receive, this::receive, (event, details) -> {})
+                    .start();
+            clock.advance(5000 + phaseMillis);
+            silenceable.silenceOpenConnections();
+            silenceable.append("change");
+            clock.advance(SHORTEST_CONTACT_MILLIS);
+            assertEquals(received, List.of("change"), "after " + phaseMillis + " ms");
+        }
+    }
+
+    @Test
+    public void aQuietTopicIsReadOnceInTheMaximumWaitOfARead() {
+        ManualExecutor clock = new ManualExecutor();
+        SilenceableLog quiet = new SilenceableLog(clock);
+        CompactedLogConsumer.create(quiet, "topic", clock, this::receive, this::receive, (event, details) -> {})
+                .start();
+        int reads = 30;
+        clock.advance(CompactedLogConsumer.MAX_READ_WAIT.toMillis() * reads);
+        assertEquals(quiet.reads(), reads + 1);
+    }
 }
--- a/src/test/java/org/gypsumflow/http/HttpClientTest.java
+++ b/src/test/java/org/gypsumflow/http/HttpClientTest.java
@@ -35,6 +35,9 @@
     /** Ends a test that hangs; no result depends on it. */
     private static final Duration HANG_GUARD = Duration.ofSeconds(20);
 
+    /** Timeout of a request that gets no response; whatever happens before or after it, the result is the same. */
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(200);
+
     private static final String KEEP_ALIVE = "";
     private static final String CLOSE = "Connection: close\r\n";
 
@@ -93,7 +96,11 @@
     }
 
     private CompletableFuture<ClientResponse> post(String path) {
-        return client.post("http://127.0.0.1:" + server.getLocalPort() + path, Map.of(), new byte[0], HANG_GUARD);
+        return post(path, HANG_GUARD);
+    }
+
+    private CompletableFuture<ClientResponse> post(String path, Duration timeout) {
+        return client.post("http://127.0.0.1:" + server.getLocalPort() + path, Map.of(), new byte[0], timeout);
     }
 
     /** Returns the path of the next request on a connection. */
@@ -266,4 +273,55 @@
         }
         assertTrue(first.isCompletedExceptionally());
     }
+
+    // Guards against changes that are followed late: when the connections to a server go silent, each idle one costs
+    // the
+    // timeout of another request.
+    @Test
+    public void aTimeoutAlsoClosesTheConnectionsThatHaveBeenIdleSinceBeforeTheRequest() throws IOException {
+        client = HttpClient.createOnTransportOf(transportOwner, 2);
+        CompletableFuture<ClientResponse> first = post("/first");
+        try (Socket connection = server.accept()) {
+            assertEquals(readRequest(connection), "/first");
+            CompletableFuture<ClientResponse> second = post("/second");
+            try (Socket otherConnection = server.accept()) {
+                assertEquals(readRequest(otherConnection), "/second");
+                respond(connection, "one", KEEP_ALIVE);
+                assertEquals(bodyOf(first), "one");
+                respond(otherConnection, "two", KEEP_ALIVE);
+                assertEquals(bodyOf(second), "two");
+                assertTrue(post("/third", SHORT_TIMEOUT)
+                        .handle((response, failure) -> failure instanceof TimeoutException)
+                        .join());
+                assertEquals(readRequest(connection), "closed");
+            }
+        }
+        CompletableFuture<ClientResponse> fourth = post("/fourth");
+        try (Socket nextConnection = server.accept()) {
+            assertEquals(readRequest(nextConnection), "/fourth");
+            respond(nextConnection, "four", KEEP_ALIVE);
+            assertEquals(bodyOf(fourth), "four");
+        }
+    }
+
+    @Test
+    public void aTimeoutLeavesAConnectionAloneThatHasCarriedAResponseSinceTheRequest() throws IOException {
+        client = HttpClient.createOnTransportOf(transportOwner, 2);
+        CompletableFuture<ClientResponse> first = post("/first", SHORT_TIMEOUT);
+        try (Socket connection = server.accept()) {
+            CompletableFuture<ClientResponse> second = post("/second");
+            try (Socket otherConnection = server.accept()) {
+                assertEquals(readRequest(otherConnection), "/second");
+                respond(otherConnection, "two", KEEP_ALIVE);
+                assertEquals(bodyOf(second), "two");
+                assertTrue(first.handle((response, failure) -> failure instanceof TimeoutException)
+                        .join());
+                assertEquals(failureOf(second), Optional.empty());
+                CompletableFuture<ClientResponse> third = post("/third");
+                assertEquals(readRequest(otherConnection), "/third");
+                respond(otherConnection, "three", KEEP_ALIVE);
+                assertEquals(bodyOf(third), "three");
+            }
+        }
+    }
 }
