Draw histories whose jobs run for up to a minute

Histories drew tasks of at most 1.5 s and callers that wait at most 8 s, so that none could show that an owner is forgotten. The new ones add eight jobs of 2 to 52 s each, break the connections of their callers within 40 s and let workers leave stops unanswered then, beside the faults of the others. They check the promises that hold at any time, since long jobs go on at the end.

--- a/src/test/java/org/gypsumflow/world/BestEffortHistory.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistory.java
@@ -30,6 +30,14 @@
     private static final String[] ZONES = {"plovdiv", "sofia", "burgas"};
     private static final Duration WARM_UP = Duration.ofSeconds(3);
     private static final Duration FAULT_PERIOD = Duration.ofSeconds(20);
+    /** The time in which long jobs are sent, run and sent again. */
+    private static final Duration LONG_JOB_PERIOD = Duration.ofSeconds(90);
+
+    private static final int MAX_LONG_JOBS = 8;
+    private static final Duration LONG_JOB_PATIENCE = Duration.ofSeconds(60);
+    /** Longest time after which the connection of a caller with a long job breaks. */
+    private static final int MAX_LONG_CONNECTION_MILLIS = 40_000;
+
     private static final Duration PROBE_TIME = Duration.ofSeconds(6);
     private static final Duration RESEND_DELAY = Duration.ofMillis(1300);
     private static final int ENTRIES = 3;
@@ -47,6 +55,17 @@
             Duration.ofMillis(400),
             Duration.ofSeconds(10));
 
+    private static final Route LONG_JOB_ROUTE = new Route(
+            RouteName.of("long"),
+            "",
+            "/",
+            FakeWorkerHost.SERVICE,
+            0,
+            3,
+            2.0,
+            Duration.ofSeconds(40),
+            LONG_JOB_PATIENCE);
+
     /** Faults that a history can inject. */
     enum Fault {
         KILL_ENTRY,
@@ -123,6 +142,56 @@
         return lastFaultNanos;
     }
 
+    /**
+     * Runs one history whose callers also send jobs of up to a minute, whose connections break while they run. The
+     * workers leave the stops of such a job unanswered now and then.
+     */
+    static BestEffortHistory runWithLongJobs(long seed, boolean traced) {
+        BestEffortHistory history = new BestEffortHistory(seed, EnumSet.noneOf(Fault.class), traced);
+        for (int index = 0; index < MAX_LONG_JOBS; index++) {
+            history.simulation.clock.schedule(
+                    WARM_UP.plus(history.randomDelay((int) FAULT_PERIOD.toMillis())),
+                    () -> history.sendLongJob(history.newLongJob(), 1));
+        }
+        history.execute();
+        history.simulation.clock.advance(LONG_JOB_PERIOD);
+        return history;
+    }
+
+    private BestEffortJob newLongJob() {
+        int millis = 2000 + random.nextInt(50_000);
+        TaskBehaviour behaviour = new TaskBehaviour(500, millis, false);
+        return job(LONG_JOB_ROUTE, behaviour, 1 + random.nextInt(2), Duration.ofMillis(millis));
+    }
+
+    private void sendLongJob(BestEffortJob job, int attemptNumber) {
+        EntryHost entry = randomLiveEntry();
+        if (entry == null) {
+            return;
+        }
+        Attempt attempt = simulation.submit(entry, job, LONG_JOB_PATIENCE);
+        simulation.clock.schedule(randomDelay(MAX_LONG_CONNECTION_MILLIS), () -> {
+            if (random.nextBoolean()) {
+                leaveStopsUnanswered();
+            }
+            disconnect(attempt);
+        });
+        attempt.response.whenComplete((outcome, broken) -> {
+            if (attemptNumber < MAX_ATTEMPTS && (broken != null || isRepeatable(outcome))) {
+                simulation.clock.schedule(RESEND_DELAY, () -> sendLongJob(job, attemptNumber + 1));
+            }
+        });
+    }
+
+    private void leaveStopsUnanswered() {
+        Duration duration = randomFaultDuration();
+        simulation.trace("stops are left unanswered for " + duration.toMillis() + " ms");
+        simulation.agents.values().forEach(agent -> agent.worker.setStopFates(() -> Fate.NEVER_EXECUTED));
+        simulation.clock.schedule(
+                duration,
+                () -> simulation.agents.values().forEach(agent -> agent.worker.setStopFates(() -> Fate.ANSWERED)));
+    }
+
     private void execute() {
         for (int index = 1; index <= ENTRIES; index++) {
             simulation.addEntry("entry-" + index, ZONES[index % ZONES.length]);
@@ -198,8 +267,12 @@
     }
 
     private BestEffortJob job(TaskBehaviour behaviour, int tasks, Duration estimate) {
+        return job(ROUTE, behaviour, tasks, estimate);
+    }
+
+    private BestEffortJob job(Route route, TaskBehaviour behaviour, int tasks, Duration estimate) {
         JobId id = JobId.of(String.format("%016x", ++jobCount));
-        return new BestEffortJob(id, ROUTE, 1, behaviour.specification(), tasks, behaviour.resources(), estimate);
+        return new BestEffortJob(id, route, 1, behaviour.specification(), tasks, behaviour.resources(), estimate);
     }
 
     private void send(BestEffortJob job, int attemptNumber) {
--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -17,6 +17,7 @@
 
 public final class BestEffortHistoryTest {
     private static final int HISTORIES_IN_CI = 200;
+    private static final int LONG_HISTORIES_IN_CI = 40;
     private static final Set<Fault> CALLS_THAT_FAIL = Set.of(
             Fault.WORKER_CLOSES_IDLE_CONNECTIONS,
             Fault.WORKER_CLOSES_CONNECTIONS,
@@ -71,6 +72,22 @@
         assertEquals(violations, List.of());
     }
 
+    // Guards against two runs of one task: what a second start waits for was forgotten while a long job ran.
+    @Test
+    public void noTaskOfALongJobRunsTwiceAtTheSameTimeInAnyHistoryDrawnBySeed() {
+        int first = Integer.getInteger("gypsumflow.firstSeed", 1);
+        int count = Integer.getInteger("gypsumflow.longHistories", LONG_HISTORIES_IN_CI);
+        List<String> violations = Collections.synchronizedList(new ArrayList<>());
+        IntStream.range(first, first + count).parallel().forEach(seed -> {
+            boolean traced = Long.getLong("gypsumflow.tracedSeed", -1) == seed;
+            BestEffortHistory history = BestEffortHistory.runWithLongJobs(seed, traced);
+            history.simulation().traceLines.forEach(System.out::println);
+            violations.addAll(BestEffortInvariants.violationsOfSafety(history));
+        });
+        violations.stream().sorted().limit(40).forEach(System.out::println);
+        assertEquals(violations, List.of());
+    }
+
     @Test
     public void aHistoryOfBestEffortJobsIsTheSameWheneverItsSeedIsTheSame() {
         LongStream.of(3, 17).forEach(seed -> {
--- a/src/test/java/org/gypsumflow/world/BestEffortInvariants.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortInvariants.java
@@ -25,6 +25,14 @@
         return invariants.violations;
     }
 
+    /** Lists the violations of the promises that hold at any time, also while jobs are under way. */
+    static List<String> violationsOfSafety(BestEffortHistory history) {
+        BestEffortInvariants invariants = new BestEffortInvariants(history);
+        invariants.checkNoTwoRunsAtTheSameTime();
+        invariants.checkRejectedJobsNeverRun();
+        return invariants.violations;
+    }
+
     private void report(String violation) {
         violations.add("seed " + history.seed() + ": " + violation);
     }
