Give the announcements of jobs a class of their own

BestEffortEntry held what is announced to peers and when, beside what it decides on jobs. JobAnnouncements takes both, the announcement of accepted jobs and its repetition; nothing changes in what is sent or when.

--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -1,14 +1,12 @@
 package org.gypsumflow.traffic;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Stream;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.JobDispatcher;
@@ -65,16 +63,13 @@
     private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final JobHandovers handovers;
-    private final List<JobId> unannouncedJobs = new ArrayList<>();
+    private final JobAnnouncements announcements;
     private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
     private final JobObserver observer;
     private Optional<Pause> possibleSuspension = Optional.empty();
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
-    private long lastAnnouncementNanos;
-    private long lastRepetitionNanos;
-    private Set<JobId> unendedAtLastRepetition = Set.of();
     private boolean stopped;
 
     private BestEffortEntry(
@@ -91,8 +86,6 @@
         this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
         this.barrier = JobBarrier.create(time.nanoTime());
-        this.lastAnnouncementNanos = time.nanoTime();
-        this.lastRepetitionNanos = time.nanoTime();
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
         this.peers = new PeerPaths(time, this::peerPathOpened, this::peerPathClosed, events);
@@ -102,6 +95,7 @@
                 new AgentClient(this::assignTasks, this::stopTasks),
                 events,
                 observer);
+        this.announcements = new JobAnnouncements(time, peers, dispatcher, handovers, jobOwners);
     }
 
     /**
@@ -133,8 +127,7 @@
             releaseJobsIfPeersAreKnown();
             handovers.tick();
             dispatcher.tick(time.nanoTime());
-            announceAcceptedJobs();
-            repeatAnnouncements();
+            announcements.tick();
             completeDrainIfIdle();
             return !stopped;
         });
@@ -282,7 +275,7 @@
             return;
         }
         JobId job = submission.job().id();
-        unannouncedJobs.add(job);
+        announcements.jobAccepted(job);
         long nowNanos = time.nanoTime();
         dispatcher.submit(
                 submission.job(),
@@ -296,7 +289,7 @@
 
     /** Exchanges the jobs with a peer: either side may have restarted, and the peer may not know of this path. */
     private void peerPathOpened(MemberName peer, PeerPath path) {
-        List<JobId> jobs = unendedJobs();
+        List<JobId> jobs = announcements.unendedJobs();
         if (!jobs.isEmpty()) {
             path.send(new ShareJobs(jobs));
         }
@@ -306,71 +299,8 @@
 
     private void peerPathClosed(MemberName peer, long lastMessageNanos) {
         handovers.peerPathClosed(peer, lastMessageNanos);
-        executor.schedule(BestEffortTimings.REPORT_INTERVAL, () -> announceJobsTakenOverBy(peer));
-    }
-
-    /** Announces the jobs that a lost peer had taken over: their former runs may not have ended yet. */
-    private void announceJobsTakenOverBy(MemberName lostPeer) {
-        if (peers.pathTo(lostPeer).isPresent()) {
-            return;
-        }
-        List<JobId> jobs = unendedJobs().stream()
-                .filter(job -> jobOwners.ownerOf(job, time.nanoTime()).equals(Optional.of(lostPeer)))
-                .toList();
-        if (!jobs.isEmpty()) {
-            peers.sendToAll(new ShareJobs(jobs));
-        }
-    }
-
-    /** Returns the jobs of which a run may be left because of this entry, and those that it takes over from a peer. */
-    private List<JobId> unendedJobs() {
-        return Stream.concat(dispatcher.unendedJobs().stream(), handovers.jobsTakenOver().stream())
-                .distinct()
-                .toList();
-    }
-
-    private void announceAcceptedJobs() {
-        long sinceLast = time.nanoTime() - lastAnnouncementNanos;
-        boolean due = peers.reachablePeers().size() < BestEffortTimings.ENTRIES_AT_FULL_RATE
-                || sinceLast + BestEffortTimings.REPORT_INTERVAL.toNanos()
-                        > BestEffortTimings.MAX_ANNOUNCEMENT_INTERVAL.toNanos();
-        if (unannouncedJobs.isEmpty() || !due) {
-            return;
-        }
-        lastAnnouncementNanos = time.nanoTime();
-        peers.sendToAll(new ShareJobs(unannouncedJobs));
-        unannouncedJobs.clear();
-    }
-
-    /**
-     * Announces again the jobs that have not ended since the last repetition, before the peers forget their owner. Jobs
-     * that last for less are not repeated.
-     */
-    private void repeatAnnouncements() {
-        long nowNanos = time.nanoTime();
-        if (nowNanos - lastRepetitionNanos < BestEffortTimings.REPEATED_ANNOUNCEMENT_INTERVAL.toNanos()) {
-            return;
-        }
-        lastRepetitionNanos = nowNanos;
-        List<JobId> unended = unendedJobs();
-        List<JobId> repeated = unended.stream()
-                .filter(unendedAtLastRepetition::contains)
-                .filter(job -> !isTakenOver(job))
-                .toList();
-        unendedAtLastRepetition = Set.copyOf(unended);
-        if (!repeated.isEmpty()) {
-            peers.sendToAll(new ShareJobs(repeated));
-        }
-    }
-
-    /** Returns whether a reachable peer has taken over a job of which only former runs are left here. */
-    private boolean isTakenOver(JobId job) {
-        return !dispatcher.isActive(job)
-                && !handovers.isPending(job)
-                && jobOwners
-                        .ownerOf(job, time.nanoTime())
-                        .flatMap(peers::pathTo)
-                        .isPresent();
+        // By then messages to the peer may have taken another path.
+        executor.schedule(BestEffortTimings.REPORT_INTERVAL, () -> announcements.announceJobsTakenOverBy(peer));
     }
 
     /**
@@ -479,7 +409,7 @@
         } else if (message instanceof ShareJobs share) {
             recordOwner(from, share.acceptedJobs());
         } else if (message instanceof RequestJobs request) {
-            replyPath.ifPresent(path -> path.send(new JobList(request.number(), unendedJobs())));
+            replyPath.ifPresent(path -> path.send(new JobList(request.number(), announcements.unendedJobs())));
         } else if (message instanceof JobList list) {
             recordOwner(from, list.jobs());
             barrier.jobsTold(from, list.number());
