--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -487,6 +487,7 @@
                             BestEffortTaskId.of(job.id(), index),
                             activeJob.runNumber(index),
                             job.specification(),
+                            job.route().name(),
                             job.resourcesPerTask(),
                             job.estimate(),
                             maxQueueTime.isNegative() ? Duration.ZERO : maxQueueTime,
--- a/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
@@ -24,7 +24,14 @@
         super(settings, settings.reportsAddress());
         HttpWorkerClient worker = HttpWorkerClient.create(
                 HttpClient.createOnTransportOf(httpServer(), WORKER_CONNECTIONS), settings.workerAddress(), events());
-        this.agent = BestEffortAgent.create(trafficExecutor(), TimeSource.system(), worker, routingState(), events());
+        this.agent = BestEffortAgent.create(
+                trafficExecutor(),
+                TimeSource.system(),
+                worker,
+                routingState(),
+                events(),
+                settings.features(),
+                metrics()::countDecision);
         WorkerReportResource.register(httpServer(), agent::workerReported, agent::workerLeft, events());
     }
 
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -33,7 +33,9 @@
                 EarliestFinishPlacement.policy(),
                 routingState(),
                 events(),
-                metrics()::recordOutcome);
+                metrics()::recordOutcome,
+                settings.features(),
+                metrics()::countDecision);
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/daemon/BestEffortMetrics.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortMetrics.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.daemon;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -8,7 +9,9 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.DoubleSupplier;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.HistogramIterationValue;
 import org.gypsumflow.model.BestEffortOutcome;
@@ -31,8 +34,12 @@
 
     private record Tags(String route, String outcome) {}
 
+    private record Decision(String name, String cause) {}
+
     private final Map<Event, LongAdder> eventCounts = new EnumMap<>(Event.class);
     private final Map<Tags, Histogram> unscrapedTimes = new HashMap<>();
+    private final Map<Decision, LongAdder> decisionCounts = new ConcurrentHashMap<>();
+    private final Map<String, DoubleSupplier> gauges = new ConcurrentHashMap<>();
     private PrometheusMeterRegistry registry;
 
     private BestEffortMetrics() {
@@ -63,6 +70,18 @@
                 .recordValue(Math.max(0, Math.min(MAX_MILLIS, responseTime.toMillis())));
     }
 
+    /** Counts a decision by its cause. */
+    void countDecision(String decision, String cause) {
+        decisionCounts
+                .computeIfAbsent(new Decision(decision, cause), absent -> new LongAdder())
+                .increment();
+    }
+
+    /** Adds a value that is read at each scrape, on the thread that scrapes. */
+    void addGauge(String name, DoubleSupplier value) {
+        gauges.put(name, value);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     synchronized String scrape() {
         if (registry == null) {
@@ -71,6 +90,13 @@
                     .tag("event", "GF" + event.number())
                     .register(registry));
         }
+        // Registering a metric again has no effect.
+        decisionCounts.forEach(
+                (decision, count) -> FunctionCounter.builder("gypsumflow." + decision.name(), count, LongAdder::sum)
+                        .tag("cause", decision.cause())
+                        .register(registry));
+        gauges.forEach((name, value) ->
+                Gauge.builder("gypsumflow." + name, value::getAsDouble).register(registry));
         unscrapedTimes.forEach(this::recordAll);
         unscrapedTimes.clear();
         return registry.scrape();
--- a/src/main/java/org/gypsumflow/daemon/BestEffortSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Member;
@@ -21,6 +22,7 @@
  * @param storeAddress address of the platform's store, as {@code host:port}
  * @param metricsAddress address on which metrics are served; empty to serve none
  * @param gracePeriod time after the platform's request to stop until it kills the process
+ * @param features parts of the dispatcher that are switched on
  */
 record BestEffortSettings(
         Member self,
@@ -30,7 +32,8 @@
         String workerAddress,
         String storeAddress,
         Optional<InetSocketAddress> metricsAddress,
-        Duration gracePeriod) {
+        Duration gracePeriod,
+        DispatchFeatures features) {
     private static final String TABLE = "dispatch";
     private static final Set<String> ENTRY_ONLY = Set.of("dispatch.callers-address", "dispatch.readiness-address");
     private static final Set<String> AGENT_ONLY = Set.of("dispatch.reports-address", "dispatch.worker-address");
@@ -65,7 +68,13 @@
                 reader.requiredString("dispatch.store-address"),
                 reader.optionalString("dispatch.metrics-address")
                         .map(text -> address("dispatch.metrics-address", text)),
-                Duration.ofSeconds(reader.integer("dispatch.grace-seconds", 6, 1, MAX_GRACE_SECONDS)));
+                Duration.ofSeconds(reader.integer("dispatch.grace-seconds", 6, 1, MAX_GRACE_SECONDS)),
+                new DispatchFeatures(
+                        reader.flag("dispatch.overload-control", false),
+                        reader.flag("dispatch.job-balancing", false),
+                        reader.flag("dispatch.capacity-sharing", false),
+                        reader.flag("dispatch.interference-avoidance", false),
+                        reader.flag("dispatch.prompt-call-recovery", false)));
         reader.ignore(isEntry ? AGENT_ONLY : ENTRY_ONLY);
         reader.rejectUnknown();
         return settings;
@@ -81,7 +90,8 @@
                 workerAddress,
                 storeAddress,
                 metricsAddress,
-                newGracePeriod);
+                newGracePeriod,
+                features);
     }
 
     private static InetSocketAddress address(SettingsReader reader, String name) {
--- a/src/main/java/org/gypsumflow/daemon/SettingsReader.java
+++ b/src/main/java/org/gypsumflow/daemon/SettingsReader.java
@@ -149,6 +149,23 @@
         return (int) Check.range(name, value.longValue(), min, max);
     }
 
+    /**
+     * Returns a switch.
+     *
+     * @param name name of the setting, with dots between its tables
+     * @param defaultValue value if it is missing
+     * @return value of the setting, or the default
+     * @throws ValidationException if the setting is neither {@code true} nor {@code false}
+     */
+    public boolean flag(String name, boolean defaultValue) {
+        JsonNode value = findNode(name);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        Check.isTrue(value.isBoolean(), name, "is " + value + ", true or false is required");
+        return value.booleanValue();
+    }
+
     /**
      * Returns a duration that is given in milliseconds.
      *
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -44,6 +44,8 @@
      * @param task id of the task
      * @param runNumber number of the run
      * @param specification what the worker runs, as the caller specified it
+     * @param route route of the job, which tells its kind of request; {@link #UNKNOWN_ROUTE} from a sender of an older
+     *     version
      * @param resources resources that the task takes while it runs
      * @param estimate estimated run duration; may be far off
      * @param maxQueueTime maximum time that the task may wait for free capacity at the agent; after that it is returned
@@ -56,11 +58,15 @@
             BestEffortTaskId task,
             RunNumber runNumber,
             String specification,
+            RouteName route,
             Resources resources,
             Duration estimate,
             Duration maxQueueTime,
             Duration slack,
-            boolean mayQueue) {}
+            boolean mayQueue) {
+        /** Stands for the route in a message of an entry that does not tell it. */
+        public static final RouteName UNKNOWN_ROUTE = RouteName.of("unknown");
+    }
 
     /**
      * Assigns tasks to an agent, which runs each of them on its worker or returns it as not started.
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -127,6 +127,8 @@
     LOG_LINES_DROPPED(616, Level.WARN, "dropped {} lines of event GF{} in the last second"),
     /** The settings file was read again; the text says whether the settings were applied. */
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
+    /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
+    FEATURES(630, Level.INFO, "{}"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -13,6 +13,8 @@
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.StalledRun;
 import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -110,6 +112,8 @@
     private final TimeSource time;
     private final EventLog events;
     private final RoutingStateCache routingState;
+    private final DispatchFeatures features;
+    private final DecisionCounter counter;
     private final AgentScheduler scheduler = AgentScheduler.create();
     private final PauseDetector pauseDetector;
     private final WorkerSession workerSession;
@@ -125,7 +129,11 @@
             TimeSource time,
             WorkerClient worker,
             RoutingStateCache routingState,
-            EventLog events) {
+            EventLog events,
+            DispatchFeatures features,
+            DecisionCounter counter) {
+        this.features = features;
+        this.counter = counter;
         this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
         this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
         this.time = time;
@@ -152,13 +160,37 @@
             WorkerClient worker,
             RoutingStateCache routingState,
             EventLog events) {
-        return new BestEffortAgent(executor, time, worker, routingState, events);
+        return create(executor, time, worker, routingState, events, DispatchFeatures.none(), DecisionCounter.none());
+    }
+
+    /**
+     * Creates an agent without a worker and without assignments; {@link #start} begins its periodic work.
+     *
+     * @param executor traffic executor, to which all state of the agent is confined
+     * @param time wall clock and monotonic clock
+     * @param worker client of the worker
+     * @param routingState latest known routes and closed zones
+     * @param events receives numbered log events
+     * @param features parts that are switched on
+     * @param counter counts the decisions of these parts
+     * @return the agent
+     */
+    public static BestEffortAgent create(
+            SerialExecutor executor,
+            TimeSource time,
+            WorkerClient worker,
+            RoutingStateCache routingState,
+            EventLog events,
+            DispatchFeatures features,
+            DecisionCounter counter) {
+        return new BestEffortAgent(executor, time, worker, routingState, events, features, counter);
     }
 
     /**
      * Starts the periodic work: expiry of queued assignments, detection of stalled tasks and pauses, status reports.
      */
     public void start() {
+        events.write(Event.FEATURES, features);
         pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             tick();
@@ -306,6 +338,7 @@
         int stoppedTasks = scheduler.stopAllOf(name, entry == null ? now : entry.lostNanos(now), now);
         if (stoppedTasks > 0) {
             events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, name, reason);
+            counter.increment("entries_dropped", reason.replace(' ', '_'));
         }
         workerSession.executeActions();
     }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.JobDispatcher;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobOwnerCache;
@@ -67,6 +69,8 @@
     private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
     private final JobObserver observer;
+    private final DispatchFeatures features;
+    private final DecisionCounter counter;
     private Optional<Pause> possibleSuspension = Optional.empty();
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
@@ -78,13 +82,17 @@
             JobPlacementPolicy placementPolicy,
             RoutingStateCache routingState,
             EventLog events,
-            JobObserver observer) {
+            JobObserver observer,
+            DispatchFeatures features,
+            DecisionCounter counter) {
         this.executor = executor;
         this.time = time;
         this.events = events;
         this.routingState = routingState;
         this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
+        this.features = features;
+        this.counter = counter;
         this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
@@ -116,11 +124,45 @@
             RoutingStateCache routingState,
             EventLog events,
             JobObserver observer) {
-        return new BestEffortEntry(executor, time, placementPolicy, routingState, events, observer);
+        return create(
+                executor,
+                time,
+                placementPolicy,
+                routingState,
+                events,
+                observer,
+                DispatchFeatures.none(),
+                DecisionCounter.none());
+    }
+
+    /**
+     * Creates an entry without connections and without jobs; {@link #start} begins its periodic work.
+     *
+     * @param executor traffic executor, to which all state of the entry is confined
+     * @param time wall clock and monotonic clock
+     * @param placementPolicy chooses the agents of a job's tasks
+     * @param routingState latest known routes and closed zones
+     * @param events receives numbered log events
+     * @param observer receives the outcome of each job
+     * @param features parts that are switched on
+     * @param counter counts the decisions of these parts
+     * @return the entry
+     */
+    public static BestEffortEntry create(
+            SerialExecutor executor,
+            TimeSource time,
+            JobPlacementPolicy placementPolicy,
+            RoutingStateCache routingState,
+            EventLog events,
+            JobObserver observer,
+            DispatchFeatures features,
+            DecisionCounter counter) {
+        return new BestEffortEntry(executor, time, placementPolicy, routingState, events, observer, features, counter);
     }
 
     /** Starts the periodic work: timeouts, detection of pauses, and messages to peers about accepted jobs. */
     public void start() {
+        events.write(Event.FEATURES, features);
         pauseDetector.restart();
         executor.scheduleWithFixedDelay(BestEffortTimings.REPORT_INTERVAL, () -> {
             detectPause();
@@ -223,6 +265,7 @@
         executor.execute(() -> {
             detectPause();
             if (drained != null) {
+                counter.increment("jobs_rejected", "draining");
                 outcome.complete(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
                 return;
             }
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -220,18 +220,21 @@
         return JobId.of(HexFormat.of().toHexDigits(bits));
     }
 
-    /** Sends the specification once: the assignments usually belong to one job, and it is their largest field. */
+    /** Sends specification and route once: the assignments usually belong to one job, and these are their largest fields. */
     private static org.gypsumflow.wire.generated.StartOrders encode(AssignTasks assign) {
-        String commonSpecification = assign.assignments().isEmpty()
-                ? ""
-                : assign.assignments().get(0).specification();
-        org.gypsumflow.wire.generated.StartOrders.Builder part =
-                org.gypsumflow.wire.generated.StartOrders.newBuilder().setSpecification(commonSpecification);
+        org.gypsumflow.wire.generated.StartOrders.Builder part = org.gypsumflow.wire.generated.StartOrders.newBuilder();
+        if (!assign.assignments().isEmpty()) {
+            TaskAssignment first = assign.assignments().get(0);
+            part.setSpecification(first.specification()).setRoute(first.route().value());
+        }
         for (TaskAssignment assignment : assign.assignments()) {
             OrderPart.Builder orderPart = encode(assignment);
-            if (!assignment.specification().equals(commonSpecification)) {
+            if (!assignment.specification().equals(part.getSpecification())) {
                 orderPart.setSpecification(assignment.specification());
             }
+            if (!assignment.route().value().equals(part.getRoute())) {
+                orderPart.setRoute(assignment.route().value());
+            }
             part.addOrders(orderPart);
         }
         return part.build();
@@ -239,7 +242,7 @@
 
     private static AssignTasks decode(org.gypsumflow.wire.generated.StartOrders part) {
         return new AssignTasks(part.getOrdersList().stream()
-                .map(assignment -> decode(assignment, part.getSpecification()))
+                .map(assignment -> decode(assignment, part))
                 .toList());
     }
 
@@ -255,11 +258,13 @@
                 .setMayWait(assignment.mayQueue());
     }
 
-    private static TaskAssignment decode(OrderPart part, String commonSpecification) {
+    private static TaskAssignment decode(OrderPart part, org.gypsumflow.wire.generated.StartOrders message) {
+        String route = part.hasRoute() ? part.getRoute() : message.getRoute();
         return new TaskAssignment(
                 BestEffortTaskId.of(decodeJob(part.getJob()), part.getIndex()),
                 RunNumber.of(part.getRun()),
-                part.hasSpecification() ? part.getSpecification() : commonSpecification,
+                part.hasSpecification() ? part.getSpecification() : message.getSpecification(),
+                route.isEmpty() ? TaskAssignment.UNKNOWN_ROUTE : RouteName.of(route),
                 decode(part.getNeeds()),
                 Duration.ofMillis(part.getEstimateMillis()),
                 Duration.ofMillis(part.getStartWithinMillis()),
--- a/src/test/java/org/gypsumflow/command/AgentSchedulerTest.java
+++ b/src/test/java/org/gypsumflow/command/AgentSchedulerTest.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
@@ -65,6 +66,7 @@
                 task(index),
                 RunNumber.FIRST,
                 "text",
+                RouteName.of("route"),
                 Resources.of(cpuMillicores, 10, 0),
                 Duration.ofMillis(100),
                 Duration.ofMillis(500),
@@ -102,6 +104,7 @@
                 task(2),
                 RunNumber.FIRST,
                 "text",
+                RouteName.of("route"),
                 Resources.of(3000, 10, 0),
                 Duration.ofMillis(100),
                 Duration.ofMillis(500),
--- a/src/test/java/org/gypsumflow/daemon/BestEffortSettingsTest.java
+++ b/src/test/java/org/gypsumflow/daemon/BestEffortSettingsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.ValidationException;
 import org.testng.annotations.DataProvider;
@@ -51,6 +52,14 @@
         assertEquals(settings.metricsAddress().orElseThrow().getPort(), 9464);
     }
 
+    @Test
+    public void eachFeatureIsOffUnlessTheSettingsSwitchItOn() {
+        assertEquals(read(AGENT).features(), DispatchFeatures.none());
+        String settings = AGENT + "\noverload-control = true\njob-balancing = true\ncapacity-sharing = true"
+                + "\ninterference-avoidance = true\nprompt-call-recovery = true";
+        assertEquals(read(settings).features(), new DispatchFeatures(true, true, true, true, true));
+    }
+
     @DataProvider
     public Object[][] invalidSettings() {
         return new Object[][] {
@@ -59,6 +68,7 @@
             {AGENT.replace("grace-seconds = 6", "grace-seconds = 0"), "dispatch.grace-seconds"},
             {AGENT.replace("store-address", "store-adress"), "dispatch.store-address"},
             {AGENT + "\nmood = 1", "dispatch.mood"},
+            {AGENT + "\noverload-control = \"yes\"", "dispatch.overload-control"},
         };
     }
 
--- a/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
+++ b/src/test/java/org/gypsumflow/platform/WorkerDeregistrationTest.java
@@ -25,6 +25,7 @@
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Message;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
@@ -141,6 +142,7 @@
                 BestEffortTaskId.of(JOB, index),
                 RunNumber.FIRST,
                 "text",
+                RouteName.of("route"),
                 Resources.of(3000, 10, 0),
                 Duration.ofMillis(100),
                 Duration.ofMillis(500),
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -29,6 +29,7 @@
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
@@ -163,6 +164,7 @@
                 task,
                 RunNumber.FIRST,
                 "text",
+                RouteName.of("route"),
                 Resources.of(3000, 10, 0),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(500),
--- a/src/test/java/org/gypsumflow/traffic/ContactLossTest.java
+++ b/src/test/java/org/gypsumflow/traffic/ContactLossTest.java
@@ -27,6 +27,7 @@
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Message;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
@@ -167,6 +168,7 @@
                 TASK,
                 RunNumber.FIRST,
                 "text",
+                RouteName.of("route"),
                 Resources.of(3000, 10, 0),
                 Duration.ofSeconds(60),
                 Duration.ofMillis(500),
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -57,6 +57,7 @@
                 BestEffortTaskId.of(JOB, index),
                 RunNumber.of(2),
                 specification,
+                RouteName.of("route"),
                 Resources.of(3100, 64, 1),
                 Duration.ofMillis(86),
                 Duration.ofMillis(500),
--- a/src/test/java/org/gypsumflow/wire/MutatedMessageTest.java
+++ b/src/test/java/org/gypsumflow/wire/MutatedMessageTest.java
@@ -24,6 +24,7 @@
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ValidationException;
@@ -54,6 +55,7 @@
                         task,
                         RunNumber.of(1),
                         "x",
+                        RouteName.of("route"),
                         RESOURCES,
                         Duration.ofMillis(90),
                         Duration.ofMillis(500),
