Write equals and hashCode of map keys by hand

The generated methods of a record are linked at run time when they are first called. For the keys that an entry uses in its first second, that spins several method handles for each record, which the class archive cannot hold. The methods written here give the same results, hash codes included, so that no map changes its order.

--- a/src/main/java/org/gypsumflow/command/DispatchFeatures.java
+++ b/src/main/java/org/gypsumflow/command/DispatchFeatures.java
@@ -25,4 +25,12 @@
     public static DispatchFeatures none() {
         return NONE;
     }
+
+    // Cheaper than the generated method, which is linked at run time.
+    @Override
+    public String toString() {
+        return "DispatchFeatures[overloadControl=" + overloadControl + ", jobBalancing=" + jobBalancing
+                + ", capacitySharing=" + capacitySharing + ", interferenceAvoidance=" + interferenceAvoidance
+                + ", promptCallRecovery=" + promptCallRecovery + "]";
+    }
 }
--- a/src/main/java/org/gypsumflow/command/EndingJobs.java
+++ b/src/main/java/org/gypsumflow/command/EndingJobs.java
@@ -28,7 +28,21 @@
     private static final int MAX_ENDED_JOBS = 5_000;
 
     /** A run that may not have ended yet. */
-    record UnendedRun(BestEffortTaskId task, RunNumber runNumber, MemberName agent) {}
+    record UnendedRun(BestEffortTaskId task, RunNumber runNumber, MemberName agent) {
+        // Cheaper than the generated methods, which are linked at run time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof UnendedRun that
+                    && task.equals(that.task)
+                    && runNumber.equals(that.runNumber)
+                    && agent.equals(that.agent);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * (31 * task.hashCode() + runNumber.hashCode()) + agent.hashCode();
+        }
+    }
 
     private static final class EndingJob {
         private final Map<UnendedRun, OptionalLong> endNanosByRun = new HashMap<>();
--- a/src/main/java/org/gypsumflow/daemon/BestEffortMetrics.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortMetrics.java
@@ -32,7 +32,18 @@
     /** Significant decimal digits of a response time that are kept until the next scrape. */
     private static final int SIGNIFICANT_DIGITS = 2;
 
-    private record Tags(String route, String outcome) {}
+    private record Tags(String route, String outcome) {
+        // Cheaper than the generated methods, which are linked at run time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Tags that && route.equals(that.route) && outcome.equals(that.outcome);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * route.hashCode() + outcome.hashCode();
+        }
+    }
 
     private record Decision(String name, String cause) {}
 
--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -143,7 +143,18 @@
         CompletableFuture<ServerResponse> handle(ServerRequest request);
     }
 
-    private record HandlerKey(String method, String path) {}
+    private record HandlerKey(String method, String path) {
+        // Cheaper than the generated methods, which are linked at run time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof HandlerKey that && method.equals(that.method) && path.equals(that.path);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * method.hashCode() + path.hashCode();
+        }
+    }
 
     private final HttpServer server = new HttpServer();
     private final NetworkListener listener;
--- a/src/main/java/org/gypsumflow/model/BestEffortTaskId.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortTaskId.java
@@ -18,6 +18,17 @@
         return new BestEffortTaskId(job, index);
     }
 
+    // Cheaper than the generated methods, which are linked at run time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof BestEffortTaskId that && index == that.index && job.equals(that.job);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * job.hashCode() + index;
+    }
+
     @Override
     public String toString() {
         return job + "/" + index;
--- a/src/main/java/org/gypsumflow/model/JobId.java
+++ b/src/main/java/org/gypsumflow/model/JobId.java
@@ -29,6 +29,17 @@
         return new JobId(value);
     }
 
+    // Cheaper than the generated methods, which are linked at run time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof JobId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(JobId other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/gypsumflow/model/MemberName.java
+++ b/src/main/java/org/gypsumflow/model/MemberName.java
@@ -23,6 +23,17 @@
         return new MemberName(value);
     }
 
+    // Cheaper than the generated methods, which are linked at run time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof MemberName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(MemberName other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/gypsumflow/model/RunNumber.java
+++ b/src/main/java/org/gypsumflow/model/RunNumber.java
@@ -36,6 +36,17 @@
         return new RunNumber(value + 1);
     }
 
+    // Cheaper than the generated methods, which are linked at run time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RunNumber that && value == that.value;
+    }
+
+    @Override
+    public int hashCode() {
+        return value;
+    }
+
     @Override
     public int compareTo(RunNumber other) {
         return Integer.compare(value, other.value);
--- a/src/main/java/org/gypsumflow/model/ServiceName.java
+++ b/src/main/java/org/gypsumflow/model/ServiceName.java
@@ -22,6 +22,17 @@
         return new ServiceName(value);
     }
 
+    // Cheaper than the generated methods, which are linked at run time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(ServiceName other) {
         return value.compareTo(other.value);
