Make the placement of jobs cheaper without changing a decision

An attempt to place waiting jobs computed each worker's candidate anew for each job, scanned all waiting jobs with streams for each of them, and built a sorted map of tasks to learn whether a job may have run. Comparing two workers computed both finish times again.

A worker's candidate is kept until its status, its assignments, any speed or the time changes. Finish time and free share are computed when a task is added. Whether a job may have run is a loop over its tasks, after the comparison of priorities.

--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -52,6 +52,7 @@
     private final BestEffortJob job;
     private final long acceptedNanos;
     private final long deadlineNanos;
+    private final Duration initialSlack;
     private final Task[] tasks;
     private final List<Consumer<BestEffortOutcome>> waiters = new ArrayList<>();
     private int doneCount;
@@ -68,6 +69,8 @@
         this.job = job;
         this.acceptedNanos = acceptedNanos;
         this.deadlineNanos = deadlineNanos;
+        double spareNanos = job.estimate().toNanos() * (job.route().latencyFactor() - 1);
+        this.initialSlack = job.route().latencyAllowance().plusNanos((long) spareNanos);
         this.tasks = new Task[job.taskCount()];
         this.hasRun = mayHaveRun;
         Arrays.setAll(tasks, index -> new Task(firstRunNumber));
@@ -106,8 +109,12 @@
 
     /** Returns the time left to start a task and still meet the objective, on a worker as fast as estimated. */
     Duration slack(long nowNanos) {
-        double spareNanos = job.estimate().toNanos() * (job.route().latencyFactor() - 1);
-        return remainingLatencyAllowance(nowNanos).plusNanos((long) spareNanos);
+        return initialSlack.minusNanos(nowNanos - acceptedNanos);
+    }
+
+    /** Returns the slack at the time at which the job was accepted. */
+    Duration initialSlack() {
+        return initialSlack;
     }
 
     /** Returns the time left until a result has no value or the caller no longer waits for it, whichever is earlier. */
@@ -238,7 +245,15 @@
 
     /** Returns whether any part of the job may have run. */
     boolean mayHaveRun() {
-        return hasRun || !tasksByAgent().isEmpty();
+        if (hasRun) {
+            return true;
+        }
+        for (Task task : tasks) {
+            if (task.state == AssignmentState.ASSIGNED || task.state == AssignmentState.UNKNOWN) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
--- a/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
+++ b/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -39,6 +40,9 @@
         private final double maxWaitMillis;
         private Resources usable;
         private double waitMillis;
+        private double finishMillis;
+        private double finishStep;
+        private double freeShare;
 
         private WorkerOption(PlacementRequest request, Candidate candidate, double healthySlowdown) {
             this.candidate = candidate;
@@ -77,6 +81,10 @@
         private void setUsable(Resources available) {
             usable = available;
             waitMillis = available.canFit(resources) ? 0 : expectedWaitMillis();
+            finishMillis = OVERHEAD.toMillis() + WAIT_SAFETY_FACTOR * waitMillis + runMillis;
+            finishStep = Math.floor(finishMillis / FINISH_TIME_RESOLUTION_MILLIS);
+            freeShare = (double) usable.cpuMillicores()
+                    / Math.max(1, candidate.reportedStatus().capacity().cpuMillicores());
         }
 
         /** Returns the expected wait on a full worker: its whole capacity becomes free once per mean run duration. */
@@ -89,23 +97,12 @@
                     + 1;
         }
 
-        private double finishMillis() {
-            return OVERHEAD.toMillis() + WAIT_SAFETY_FACTOR * waitMillis + runMillis;
-        }
-
         private boolean finishesInTime() {
             return waitMillis <= maxWaitMillis;
         }
 
-        private double freeShare() {
-            return (double) usable.cpuMillicores()
-                    / Math.max(1, candidate.reportedStatus().capacity().cpuMillicores());
-        }
-
         private boolean finishesEarlierThan(WorkerOption other) {
-            double difference = Math.floor(finishMillis() / FINISH_TIME_RESOLUTION_MILLIS)
-                    - Math.floor(other.finishMillis() / FINISH_TIME_RESOLUTION_MILLIS);
-            return difference < 0 || (difference == 0 && freeShare() > other.freeShare());
+            return finishStep < other.finishStep || (finishStep == other.finishStep && freeShare > other.freeShare);
         }
     }
 
@@ -162,8 +159,8 @@
     }
 
     private static boolean mayFinishLate(PlacementRequest request, WorkerOption option) {
-        return (request.mayHaveRun() || option.freeShare() > MIN_FREE_SHARE_FOR_LATE_JOB)
-                && option.finishMillis() <= request.timeToHardDeadline().toMillis();
+        return (request.mayHaveRun() || option.freeShare > MIN_FREE_SHARE_FOR_LATE_JOB)
+                && option.finishMillis <= request.timeToHardDeadline().toMillis();
     }
 
     /**
@@ -173,8 +170,11 @@
      * fastest; if most are faster, it is the median.
      */
     private static double healthySlowdown(List<Candidate> candidates) {
-        double[] sorted =
-                candidates.stream().mapToDouble(Candidate::slowdown).sorted().toArray();
+        double[] sorted = new double[candidates.size()];
+        for (int index = 0; index < sorted.length; index++) {
+            sorted[index] = candidates.get(index).slowdown();
+        }
+        Arrays.sort(sorted);
         return sorted.length == 0 ? 1 : Math.min(Math.max(1, sorted[0]), sorted[(sorted.length - 1) / 2]);
     }
 }
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -5,10 +5,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -237,14 +240,14 @@
      */
     public void agentReported(MemberName agent, AgentReport report, long nowNanos) {
         latestNanos = nowNanos;
-        Collection<ActiveJob> affected = new ArrayList<>();
+        Collection<ActiveJob> affected = new LinkedHashSet<>();
         for (RunResult result : report.results()) {
             endingJobs.recordResult(agent, result);
             applyResult(agent, result, nowNanos).ifPresent(affected::add);
         }
         capacityTracker.updateWorker(agent, report.workerStatus());
         endingJobs.runDueListeners();
-        affected.stream().distinct().forEach(activeJob -> place(activeJob, nowNanos));
+        affected.forEach(activeJob -> place(activeJob, nowNanos));
         retryWaitingJobs(nowNanos);
     }
 
@@ -339,8 +342,12 @@
 
     private void logCompletion(ActiveJob activeJob, long nowNanos) {
         List<Sample> runs = activeJob.completedRuns();
-        Sample slowest =
-                runs.stream().max(Comparator.comparing(Sample::runDuration)).orElseThrow();
+        Set<MemberName> agents = new HashSet<>();
+        Sample slowest = runs.get(0);
+        for (Sample run : runs) {
+            agents.add(run.agent());
+            slowest = run.runDuration().compareTo(slowest.runDuration()) > 0 ? run : slowest;
+        }
         events.write(
                 Event.JOB_DONE,
                 activeJob.job().id(),
@@ -350,7 +357,7 @@
                 runs.size(),
                 activeJob.job().estimate().toMillis(),
                 activeJob.assignmentCount(),
-                runs.stream().map(Sample::agent).distinct().count(),
+                agents.size(),
                 slowest.runDuration().toMillis(),
                 slowest.agent());
     }
@@ -424,9 +431,8 @@
                             .compareTo(activeJob.job().estimate())
                     > 0;
         }
-        double initialSlack =
-                activeJob.slack(nowNanos).plus(activeJob.age(nowNanos)).toNanos();
-        return activeJob.slack(nowNanos).toNanos() > MIN_REMAINING_SLACK_SHARE * initialSlack;
+        double initialSlackNanos = activeJob.initialSlack().toNanos();
+        return activeJob.slack(nowNanos).toNanos() > MIN_REMAINING_SLACK_SHARE * initialSlackNanos;
     }
 
     private static boolean isTooLarge(BestEffortJob job, Collection<Candidate> candidates) {
@@ -449,10 +455,15 @@
     /** Capacity goes to the job with the highest priority set by the operator, not to the one that needs the least. */
     private boolean isBehindHigherPriority(ActiveJob activeJob) {
         Route route = activeJob.job().route();
-        return waitingJobs.values().stream()
-                .filter(other -> !other.mayHaveRun())
-                .map(other -> other.job().route())
-                .anyMatch(other -> other.service().equals(route.service()) && other.priority() < route.priority());
+        for (ActiveJob other : waitingJobs.values()) {
+            Route otherRoute = other.job().route();
+            if (otherRoute.priority() < route.priority()
+                    && otherRoute.service().equals(route.service())
+                    && !other.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void retryWaitingJobs(long nowNanos) {
--- a/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
+++ b/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
@@ -35,6 +35,20 @@
     private static final class TrackedWorker {
         private WorkerStatus status;
         private Resources assigned = Resources.NONE;
+        /** Candidate of this worker as of a time, until anything changes from which it is computed; null if none is. */
+        private Candidate cachedCandidate;
+
+        private long cachedAtNanos;
+
+        private void setStatus(WorkerStatus newStatus) {
+            status = newStatus;
+            cachedCandidate = null;
+        }
+
+        private void setAssigned(Resources newAssigned) {
+            assigned = newAssigned;
+            cachedCandidate = null;
+        }
     }
 
     private final Map<MemberName, TrackedWorker> workers = new HashMap<>();
@@ -59,7 +73,7 @@
      * @param status status of its worker
      */
     public void updateWorker(MemberName agent, WorkerStatus status) {
-        workers.computeIfAbsent(agent, name -> new TrackedWorker()).status = status;
+        workers.computeIfAbsent(agent, name -> new TrackedWorker()).setStatus(status);
     }
 
     /**
@@ -88,7 +102,7 @@
      * @param resources resources of the task
      */
     public void recordAssignment(MemberName agent, Resources resources) {
-        find(agent).ifPresent(worker -> worker.assigned = worker.assigned.plus(resources));
+        find(agent).ifPresent(worker -> worker.setAssigned(worker.assigned.plus(resources)));
     }
 
     /**
@@ -98,7 +112,7 @@
      * @param resources resources of the task
      */
     public void releaseAssignment(MemberName agent, Resources resources) {
-        find(agent).ifPresent(worker -> worker.assigned = worker.assigned.minus(resources));
+        find(agent).ifPresent(worker -> worker.setAssigned(worker.assigned.minus(resources)));
     }
 
     /**
@@ -110,6 +124,7 @@
      */
     void recordCompletedJob(List<WorkerSpeedEstimator.Sample> runs, Duration estimate, long nowNanos) {
         speedEstimator.recordCompletedJob(runs, estimate, nowNanos);
+        workers.values().forEach(worker -> worker.cachedCandidate = null);
     }
 
     /**
@@ -141,10 +156,19 @@
     private boolean acceptsTasksOf(WorkerStatus status, ServiceName service) {
         return status.acceptsTasks()
                 && status.service().equals(service.value())
-                && closedZones.stream().noneMatch(zone -> zone.value().equals(status.zone()));
+                && (closedZones.isEmpty()
+                        || closedZones.stream().noneMatch(zone -> zone.value().equals(status.zone())));
     }
 
     private Candidate candidate(MemberName agent, TrackedWorker worker, long nowNanos) {
+        if (worker.cachedCandidate == null || worker.cachedAtNanos != nowNanos) {
+            worker.cachedCandidate = createCandidate(agent, worker, nowNanos);
+            worker.cachedAtNanos = nowNanos;
+        }
+        return worker.cachedCandidate;
+    }
+
+    private Candidate createCandidate(MemberName agent, TrackedWorker worker, long nowNanos) {
         double slowdown = speedEstimator.slowdown(agent, worker.status.slowdown(), nowNanos);
         Resources unreported = worker.assigned.minus(worker.status.assignedByReceiver());
         return new Candidate(
