Send calls to a worker again when it leaves them unanswered

Cause: for seconds on end some percent of the calls to a worker get no response and are carried out seconds later. An agent noticed a lost start after 400 ms, and then took the whole worker for unresponsive.

Change: with dispatch.prompt-call-recovery a call without a response within the usual response times of the worker, 30 ms at least, is sent again on another connection, up to four copies, and the first response counts. A start keeps its run number, under which the worker starts a run once, so that the copies need no fencing among each other. A worker counts as unresponsive when several copies got no response for 400 ms. A check that comes late decides nothing.

--- a/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortAgentDaemon.java
@@ -17,13 +17,21 @@
      * billed.
      */
     private static final int WORKER_CONNECTIONS = 4;
+    /** The same where calls are sent again while the connections of their first copies wait for the timeout. */
+    private static final int WORKER_CONNECTIONS_WITH_RECOVERY = 12;
 
     private final BestEffortAgent agent;
 
     BestEffortAgentDaemon(BestEffortSettings settings) {
         super(settings, settings.reportsAddress());
         HttpWorkerClient worker = HttpWorkerClient.create(
-                HttpClient.createOnTransportOf(httpServer(), WORKER_CONNECTIONS), settings.workerAddress(), events());
+                HttpClient.createOnTransportOf(
+                        httpServer(),
+                        settings.features().promptCallRecovery()
+                                ? WORKER_CONNECTIONS_WITH_RECOVERY
+                                : WORKER_CONNECTIONS),
+                settings.workerAddress(),
+                events());
         this.agent = BestEffortAgent.create(
                 trafficExecutor(),
                 TimeSource.system(),
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,12 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** A call to the worker got no response in time and is sent again. */
+    CALL_REPEATED(650, Level.WARN, "worker left {} unanswered for {} ms, sent copy {}"),
+    /** The worker lists a run whose start got no response. */
+    RUN_ADOPTED(651, Level.INFO, "task {} run {} was started, only the response was lost"),
+    /** A run whose start got no usable response is stopped before its task may start elsewhere. */
+    RUN_FENCED(652, Level.WARN, "task {} run {} is stopped, as the worker may start it late: {}"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/model/WorkerProtocol.java
+++ b/src/main/java/org/gypsumflow/model/WorkerProtocol.java
@@ -20,7 +20,9 @@
         /** The worker has received a higher fencing token than that of the request. */
         FENCED,
         /** The worker did not start the task, because it has a fault or the request was invalid. */
-        REFUSED
+        REFUSED,
+        /** The worker rejected one copy of the request, while another one got no response and may start the task. */
+        UNDECIDED
     }
 
     /**
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -141,7 +141,15 @@
         this.routingState = routingState;
         this.pauseDetector = PauseDetector.create(BestEffortTimings.PAUSE_THRESHOLD, time);
         this.workerSession = new WorkerSession(
-                this.executor, time, scheduler, worker, events, this::assignmentFinished, this::reportResults);
+                this.executor,
+                time,
+                scheduler,
+                worker,
+                events,
+                features,
+                counter,
+                this::assignmentFinished,
+                this::reportResults);
     }
 
     /**
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -3,6 +3,8 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
@@ -10,6 +12,8 @@
 import org.gypsumflow.command.AgentScheduler.Actions;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.TaskRun;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.WorkerLease;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.control.TimeSource;
@@ -47,7 +51,9 @@
     private final TimeSource time;
     private final AgentScheduler scheduler;
     private final WorkerClient client;
+    private final Optional<RecoveringWorkerClient> recoveringClient;
     private final EventLog events;
+    private final DecisionCounter counter;
     private final Consumer<FinishedAssignment> resultListener;
     private final Runnable afterResults;
 
@@ -64,6 +70,8 @@
     /**
      * Creates a session without a worker.
      *
+     * @param features tells whether calls without a response are sent again
+     * @param counter counts such calls
      * @param resultListener receives each finished assignment
      * @param afterResults runs after all results known at that time were passed on, so that they can be reported
      *     together
@@ -74,12 +82,20 @@
             AgentScheduler scheduler,
             WorkerClient client,
             EventLog events,
+            DispatchFeatures features,
+            DecisionCounter counter,
             Consumer<FinishedAssignment> resultListener,
             Runnable afterResults) {
         this.executor = executor;
         this.time = time;
         this.scheduler = scheduler;
-        this.client = client;
+        this.recoveringClient = features.promptCallRecovery()
+                ? Optional.of(RecoveringWorkerClient.create(
+                        executor, time, client, this::leaseOfRepeatedStart, events, counter))
+                : Optional.empty();
+        this.client =
+                recoveringClient.<WorkerClient>map(recovering -> recovering).orElse(client);
+        this.counter = counter;
         this.events = events;
         this.resultListener = resultListener;
         this.afterResults = afterResults;
@@ -90,6 +106,7 @@
     void workerReported(WorkerReport report) {
         boolean newIncarnation = scheduler.workerReported(report, time.nanoTime());
         if (newIncarnation) {
+            recoveringClient.ifPresent(RecoveringWorkerClient::incarnationChanged);
             workerStartedAtMillis = report.startedAtMillis();
             lease = lease.atNextIncarnation();
             untrackedRunsListed = false;
@@ -165,6 +182,7 @@
             case STARTED -> scheduler.runStarted(run.task(), run.number(), time.nanoTime());
             case OLD_RUN -> scheduler.startRejected(run.task(), run.number(), true, false, time.nanoTime());
             case NO_ROOM, TOO_LATE -> scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
+            case UNDECIDED -> fence(run, "rejected after a copy without a response");
             case REFUSED -> scheduler.startRejected(run.task(), run.number(), false, true, time.nanoTime());
             case FENCED -> {
                 raiseFencingToken(token);
@@ -183,7 +201,22 @@
             return;
         }
         callFailed("a start", failure);
+        fence(run, "no response");
+    }
+
+    /** Stops a run that the worker may have started or may start late, so that its task can start elsewhere. */
+    private void fence(TaskRun run, String reason) {
         scheduler.startUnconfirmed(run.task(), run.number());
+        if (recoveringClient.isPresent()) {
+            counter.increment("runs_fenced", reason.replace(' ', '_'));
+            events.write(Event.RUN_FENCED, run.task(), run.number().value(), reason);
+        }
+    }
+
+    /** Requests the lease of another copy of a start, which may reach the worker after the first one's lease has ended. */
+    private OptionalLong leaseOfRepeatedStart() {
+        long now = time.nanoTime();
+        return mayExtendLease(now) ? OptionalLong.of(lease.request(now)) : OptionalLong.empty();
     }
 
     private void stop(TaskRun run) {
--- a/src/test/java/org/gypsumflow/world/BestEffortHistory.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.JobId;
@@ -102,10 +103,10 @@
     private long lastFaultNanos;
     private int jobCount;
 
-    private BestEffortHistory(long seed, Set<Fault> excluded, boolean traced) {
+    private BestEffortHistory(long seed, Set<Fault> excluded, boolean traced, DispatchFeatures features) {
         this.seed = seed;
         this.random = new Random(seed * 31 + 7);
-        this.simulation = new BestEffortSimulation(seed, traced);
+        this.simulation = new BestEffortSimulation(seed, traced, features);
         this.excluded = excluded;
     }
 
@@ -116,11 +117,40 @@
 
     /** Runs one history without some kinds of faults, which are drawn but not injected. */
     static BestEffortHistory run(long seed, Set<Fault> excluded, boolean traced) {
-        BestEffortHistory history = new BestEffortHistory(seed, excluded, traced);
+        return run(seed, excluded, traced, DispatchFeatures.none());
+    }
+
+    /** Runs one history with some parts of the dispatcher switched on. */
+    static BestEffortHistory run(long seed, Set<Fault> excluded, boolean traced, DispatchFeatures features) {
+        BestEffortHistory history = new BestEffortHistory(seed, excluded, traced, features);
         history.execute();
         return history;
     }
 
+    /** Runs one history in which a few percent of the calls to all workers are carried out late or without a response. */
+    static BestEffortHistory runWithUnansweredCalls(long seed, boolean traced, DispatchFeatures features) {
+        BestEffortHistory history = new BestEffortHistory(seed, EnumSet.noneOf(Fault.class), traced, features);
+        history.simulation.clock.schedule(WARM_UP, history::leaveSomeCallsUnanswered);
+        history.execute();
+        return history;
+    }
+
+    private void leaveSomeCallsUnanswered() {
+        double share = 0.02 + 0.1 * random.nextDouble();
+        // Faults of the history may end the period earlier for the worker that they are about.
+        simulation
+                .agents
+                .values()
+                .forEach(agent -> agent.worker.setFates(() -> {
+                    boolean late = random.nextInt(3) > 0;
+                    return random.nextDouble() >= share ? Fate.ANSWERED : late ? Fate.EXECUTED_LATE : Fate.ANSWER_LOST;
+                }));
+        simulation.clock.schedule(
+                FAULT_PERIOD,
+                () -> simulation.agents.values().forEach(agent -> agent.worker.setFates(() -> Fate.ANSWERED)));
+        faultLastsFor(FAULT_PERIOD.plusSeconds(12));
+    }
+
     long seed() {
         return seed;
     }
@@ -146,8 +176,8 @@
      * Runs one history whose callers also send jobs of up to a minute, whose connections break while they run. The
      * workers leave the stops of such a job unanswered now and then.
      */
-    static BestEffortHistory runWithLongJobs(long seed, boolean traced) {
-        BestEffortHistory history = new BestEffortHistory(seed, EnumSet.noneOf(Fault.class), traced);
+    static BestEffortHistory runWithLongJobs(long seed, boolean traced, DispatchFeatures features) {
+        BestEffortHistory history = new BestEffortHistory(seed, EnumSet.noneOf(Fault.class), traced, features);
         for (int index = 0; index < MAX_LONG_JOBS; index++) {
             history.simulation.clock.schedule(
                     WARM_UP.plus(history.randomDelay((int) FAULT_PERIOD.toMillis())),
--- a/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistoryTest.java
@@ -10,14 +10,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.world.BestEffortHistory.Fault;
 import org.testng.annotations.Test;
 
 public final class BestEffortHistoryTest {
     private static final int HISTORIES_IN_CI = 200;
     private static final int LONG_HISTORIES_IN_CI = 40;
+    private static final DispatchFeatures CALL_RECOVERY = new DispatchFeatures(false, false, false, false, true);
     private static final Set<Fault> CALLS_THAT_FAIL = Set.of(
             Fault.WORKER_CLOSES_IDLE_CONNECTIONS,
             Fault.WORKER_CLOSES_CONNECTIONS,
@@ -37,22 +40,38 @@
         return excluded;
     }
 
-    private static BestEffortHistory run(long seed) {
+    private static BestEffortHistory run(long seed, DispatchFeatures features) {
         boolean traced = Long.getLong("gypsumflow.tracedSeed", -1) == seed;
-        BestEffortHistory history = BestEffortHistory.run(seed, excludedFaults(), traced);
+        BestEffortHistory history = BestEffortHistory.run(seed, excludedFaults(), traced, features);
         history.simulation().traceLines.forEach(System.out::println);
         return history;
     }
 
     @Test
     public void everyPromiseAboutBestEffortJobsHoldsInEveryHistoryDrawnBySeed() {
+        drawHistories(seed -> run(seed, DispatchFeatures.none()));
+    }
+
+    @Test
+    public void everyPromiseHoldsInEveryHistoryWhenUnansweredCallsAreSentAgain() {
+        drawHistories(seed -> run(seed, CALL_RECOVERY));
+    }
+
+    // Guards against two runs of one task and lost jobs: a few percent of the calls to workers are carried out late.
+    @Test
+    public void everyPromiseHoldsInEveryHistoryWhenSomeCallsAreCarriedOutLate() {
+        drawHistories(seed -> BestEffortHistory.runWithUnansweredCalls(seed, false, CALL_RECOVERY));
+        drawHistories(seed -> BestEffortHistory.runWithUnansweredCalls(seed, false, DispatchFeatures.none()));
+    }
+
+    private static void drawHistories(LongFunction<BestEffortHistory> draw) {
         int first = Integer.getInteger("gypsumflow.firstSeed", 1);
         int count = Integer.getInteger("gypsumflow.histories", HISTORIES_IN_CI);
         Map<Fault, Integer> faults = Collections.synchronizedMap(new TreeMap<>());
         Map<String, Integer> outcomes = Collections.synchronizedMap(new TreeMap<>());
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         IntStream.range(first, first + count).parallel().forEach(seed -> {
-            BestEffortHistory history = run(seed);
+            BestEffortHistory history = draw.apply(seed);
             violations.addAll(BestEffortInvariants.violations(history));
             history.faultCounts().forEach((fault, times) -> faults.merge(fault, times, Integer::sum));
             history.simulation()
@@ -75,12 +94,21 @@
     // Guards against two runs of one task: what a second start waits for was forgotten while a long job ran.
     @Test
     public void noTaskOfALongJobRunsTwiceAtTheSameTimeInAnyHistoryDrawnBySeed() {
+        drawLongHistories(DispatchFeatures.none());
+    }
+
+    @Test
+    public void noTaskOfALongJobRunsTwiceAtTheSameTimeWhenUnansweredCallsAreSentAgain() {
+        drawLongHistories(CALL_RECOVERY);
+    }
+
+    private static void drawLongHistories(DispatchFeatures features) {
         int first = Integer.getInteger("gypsumflow.firstSeed", 1);
         int count = Integer.getInteger("gypsumflow.longHistories", LONG_HISTORIES_IN_CI);
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         IntStream.range(first, first + count).parallel().forEach(seed -> {
             boolean traced = Long.getLong("gypsumflow.tracedSeed", -1) == seed;
-            BestEffortHistory history = BestEffortHistory.runWithLongJobs(seed, traced);
+            BestEffortHistory history = BestEffortHistory.runWithLongJobs(seed, traced, features);
             history.simulation().traceLines.forEach(System.out::println);
             violations.addAll(BestEffortInvariants.violationsOfSafety(history));
         });
--- a/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -11,6 +11,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.control.ConnectionManager;
@@ -108,9 +110,11 @@
     final List<String> traceLines = new ArrayList<>();
     private final Random random;
     private final boolean traced;
+    private final DispatchFeatures features;
     private int incarnationCount;
 
-    BestEffortSimulation(long seed, boolean traced) {
+    BestEffortSimulation(long seed, boolean traced, DispatchFeatures features) {
+        this.features = features;
         this.random = new Random(seed);
         this.network = new MemberNetwork(clock, random);
         this.traced = traced;
@@ -205,7 +209,9 @@
                 process.timeSource(),
                 host.worker.clientOf(process),
                 RoutingStateCache.create(events),
-                events);
+                events,
+                features,
+                DecisionCounter.none());
         host.worker.setAgent(process, agent);
         ConnectionManager connections = ConnectionManager.create(
                 host.member,
--- a/src/test/java/org/gypsumflow/world/LongJobHandoverTest.java
+++ b/src/test/java/org/gypsumflow/world/LongJobHandoverTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Resources;
@@ -48,7 +49,7 @@
 
     @BeforeMethod
     public void startTwoEntriesAndTwoWorkers() {
-        simulation = new BestEffortSimulation(1, false);
+        simulation = new BestEffortSimulation(1, false, DispatchFeatures.none());
         owner = simulation.addEntry("entry-1", "sofia");
         other = simulation.addEntry("entry-2", "burgas");
         simulation.addAgent("agent-1", "sofia", Resources.of(4000, 1000, 0));
