Count the time in which messages wait unread as own delay, not as silence

An entry whose transport thread is busy has its members' messages unread in its sockets, while its control thread is in time: it took these members for lost, dropped their runs and did the work again.

ReceptionMonitor sets a timer on the transport thread. Between two of its runs the thread has looked at all connections, so that a member counts as silent only up to the earlier run. Without overload control nothing changes.

The bounds of docs/PLATFORM.md hold: reassignment counts from the last message received, whenever the loss is noticed; a takeover counts from a silence of 750 ms at most, so that a later notice makes it later. The agents' limit is untouched.

--- a/src/main/java/org/gypsumflow/control/ConnectionManager.java
+++ b/src/main/java/org/gypsumflow/control/ConnectionManager.java
@@ -155,6 +155,7 @@
     private final MemberConnector connector;
     private final MemberListener listener;
     private final EventLog events;
+    private final ReceptionProgress receptionProgress;
     private final Map<Connection, ConnectionState> states = new ConcurrentHashMap<>();
     private final Map<MemberName, Connection> connectionByName = new HashMap<>();
     private final Map<MemberName, Member> membersToConnect = new HashMap<>();
@@ -173,7 +174,8 @@
             TimeSource time,
             MemberConnector connector,
             MemberListener listener,
-            EventLog events) {
+            EventLog events,
+            ReceptionProgress receptionProgress) {
         this.self = self;
         this.incarnation = incarnation;
         this.controlExecutor = controlExecutor;
@@ -181,6 +183,7 @@
         this.connector = connector;
         this.listener = listener;
         this.events = events;
+        this.receptionProgress = receptionProgress;
         this.attempts = ConnectionAttempts.create(controlExecutor, this::attempt);
     }
 
@@ -204,7 +207,34 @@
             MemberConnector connector,
             MemberListener listener,
             EventLog events) {
-        return new ConnectionManager(self, incarnation, controlExecutor, time, connector, listener, events);
+        return create(self, incarnation, controlExecutor, time, connector, listener, events, time::nanoTime);
+    }
+
+    /**
+     * Creates a connection manager without connections.
+     *
+     * @param self this process, as introduced to other members
+     * @param incarnation incarnation of this process
+     * @param controlExecutor serial executor of the control thread
+     * @param time clocks
+     * @param connector opens connections to members
+     * @param listener receives connections and messages
+     * @param events receives an event for each member that connects or is lost
+     * @param receptionProgress tells up to which time this process has read its connections; the time since proves no
+     *     silence of a member
+     * @return the connection manager
+     */
+    public static ConnectionManager create(
+            Member self,
+            Incarnation incarnation,
+            SerialExecutor controlExecutor,
+            TimeSource time,
+            MemberConnector connector,
+            MemberListener listener,
+            EventLog events,
+            ReceptionProgress receptionProgress) {
+        return new ConnectionManager(
+                self, incarnation, controlExecutor, time, connector, listener, events, receptionProgress);
     }
 
     /** Starts to monitor the connections: sends heartbeats and closes connections that time out. */
@@ -409,7 +439,8 @@
 
     private void checkConnections() {
         long nowNanos = time.nanoTime();
-        long maxSilenceNanos = BestEffortTimings.HEARTBEAT_TIMEOUT.toNanos() + delayOfCheckNanos(nowNanos);
+        long ownDelayNanos = Math.max(delayOfCheckNanos(nowNanos), nowNanos - receptionProgress.receivedUntilNanos());
+        long maxSilenceNanos = BestEffortTimings.HEARTBEAT_TIMEOUT.toNanos() + ownDelayNanos;
         lastCheckNanos = nowNanos;
         states.forEach((connection, state) -> {
             if (nowNanos - state.lastReceivedNanos > maxSilenceNanos) {
--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.MemberDiscovery;
+import org.gypsumflow.control.ReceptionProgress;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.control.TimeSource;
@@ -78,6 +79,11 @@
     /** Returns the listener that receives members, job messages and routing states. */
     abstract ConnectionManager.MemberListener memberListener();
 
+    /** Tells how far the connections have been read; unless overridden, the present time, as if always all was read. */
+    ReceptionProgress receptionProgress() {
+        return System::nanoTime;
+    }
+
     /** Starts the role; called when the connection manager and the HTTP server have been started. */
     abstract void startServing();
 
@@ -178,7 +184,14 @@
         Member self = settings.self().withPort(port);
         Incarnation incarnation = Incarnation.random();
         connectionManager = ConnectionManager.create(
-                self, incarnation, controlExecutor, TimeSource.system(), transport::connect, memberListener(), events);
+                self,
+                incarnation,
+                controlExecutor,
+                TimeSource.system(),
+                transport::connect,
+                memberListener(),
+                events,
+                receptionProgress());
         httpServer.start();
         connectionListener.setDelegate(connectionManager);
         connectionManager.start();
--- a/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
+++ b/src/test/java/org/gypsumflow/control/ConnectionManagerTest.java
@@ -380,6 +380,62 @@
         assertEquals(notifications, List.of("connected", "lost"));
     }
 
+    // Guards against members that a busy entry takes for lost: its control thread was in time, and their messages
+    // waited
+    // unread in its sockets.
+    @Test
+    public void aProcessWhoseTransportThreadIsBusyDoesNotTakeUnreadMessagesForSilence() {
+        ManualExecutor transport = new ManualExecutor();
+        connectionManager = ConnectionManager.create(
+                SELF,
+                Incarnation.random(),
+                executor,
+                executor.timeSource(),
+                (member, listener) -> connect(),
+                new RecordingListener(),
+                (event, details) -> {},
+                ReceptionMonitor.start(transport, executor.timeSource(), delay -> {}));
+        connectionManager.start();
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        advanceTogether(transport, 300);
+        connectionManager.messageReceived(connections.get(0), MemberHeartbeat.withoutEcho(0));
+        executor.advance(BestEffortTimings.HEARTBEAT_TIMEOUT.toMillis() * 5);
+        assertEquals(notifications, List.of("connected"));
+        advanceTogether(transport, 2 * ReceptionMonitor.INTERVAL.toMillis());
+        executor.advance(BestEffortTimings.CONNECTION_CHECK_INTERVAL.toMillis());
+        assertEquals(notifications, List.of("connected", "lost"));
+    }
+
+    @Test
+    public void theSilenceOfAMemberIsNoticedAnIntervalLaterIfTheTransportThreadIsObserved() {
+        connectionManager = ConnectionManager.create(
+                SELF,
+                Incarnation.random(),
+                executor,
+                executor.timeSource(),
+                (member, listener) -> connect(),
+                new RecordingListener(),
+                (event, details) -> {},
+                ReceptionMonitor.start(executor, executor.timeSource(), delay -> {}));
+        connectionManager.start();
+        connectionManager.maintainConnection(AGENT);
+        introduceMember(0);
+        long boundMillis = BestEffortTimings.HEARTBEAT_TIMEOUT
+                .plus(BestEffortTimings.CONNECTION_CHECK_INTERVAL)
+                .plus(ReceptionMonitor.INTERVAL.multipliedBy(2))
+                .toMillis();
+        executor.advance(boundMillis);
+        assertEquals(notifications, List.of("connected", "lost"));
+    }
+
+    private void advanceTogether(ManualExecutor transport, long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed++) {
+            executor.advance(1);
+            transport.advance(1);
+        }
+    }
+
     // Guards against two runs of one task: the jobs that a peer announced when it connected were dropped, since its
     // introduction was still waiting for the control thread.
     @Test
