Let an overloaded entry take the jobs that can be in time, and reject the others as not run

An entry that starts under full load, or meets a burst beyond its processor, took on each job, and all of them came late.

Above half of the latency allowance for an interval the entry is overloaded: it takes the newest jobs first, up to a limit that follows the delay, and rejects what cannot be in time any more, before the body is parsed where the wait tells it. A job that may have been sent before is never rejected, as it may be running. Retry-After spreads callers over the time in which the excess drains. While the entry keeps up, nothing is rejected, and the order is that of arrival. The latency objective counts from the arrival.

ProcessingDelay took a delay of two intervals or more for an idle time.

All of this is off unless dispatch.overload-control is set.

--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -108,6 +108,25 @@
      * @param waiter receives the outcome, exactly once unless it is removed
      */
     public void submit(BestEffortJob job, long nowNanos, Duration timeLeft, Consumer<BestEffortOutcome> waiter) {
+        submit(job, nowNanos, nowNanos, timeLeft, waiter);
+    }
+
+    /**
+     * Starts a job that has waited at this entry, or adds a waiter to the active job of that id, as
+     * {@link #submit(BestEffortJob, long, Duration, Consumer)} does.
+     *
+     * @param job the job
+     * @param arrivedNanos monotonic time of its arrival, from which its latency objective counts
+     * @param nowNanos current monotonic time
+     * @param timeLeft time until the caller stops waiting, transit of the response included
+     * @param waiter receives the outcome, exactly once unless it is removed
+     */
+    public void submit(
+            BestEffortJob job,
+            long arrivedNanos,
+            long nowNanos,
+            Duration timeLeft,
+            Consumer<BestEffortOutcome> waiter) {
         latestNanos = nowNanos;
         ActiveJob existing = jobs.get(job.id());
         if (existing != null) {
@@ -121,7 +140,7 @@
         }
         boolean formerRunsEnding = endingJobs.isEnding(job.id());
         ActiveJob activeJob =
-                new ActiveJob(job, nowNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
+                new ActiveJob(job, arrivedNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
         if (formerRunsEnding) {
@@ -184,6 +203,16 @@
         return jobs.containsKey(id);
     }
 
+    /**
+     * Returns whether a task of a job may be running or start because of this entry.
+     *
+     * @param id id of the job
+     * @return true if the job is active, or has an outcome and a run of it may not have ended
+     */
+    public boolean isUnended(JobId id) {
+        return jobs.containsKey(id) || endingJobs.isEnding(id);
+    }
+
     /**
      * Returns the number of active jobs.
      *
--- a/src/main/java/org/gypsumflow/command/admission/ProcessingDelay.java
+++ b/src/main/java/org/gypsumflow/command/admission/ProcessingDelay.java
@@ -37,8 +37,9 @@
      * @param nowNanos current monotonic time
      */
     public void record(Duration delay, long nowNanos) {
-        startIntervalIfDue(nowNanos);
-        smallestNanos = Math.min(smallestNanos, Math.max(0, delay.toNanos()));
+        long delayNanos = Math.max(0, delay.toNanos());
+        startIntervalIfDue(delayNanos, nowNanos);
+        smallestNanos = Math.min(smallestNanos, delayNanos);
     }
 
     /**
@@ -48,17 +49,22 @@
      * @return the delay; zero if nothing was recorded in that interval
      */
     public Duration standing(long nowNanos) {
-        startIntervalIfDue(nowNanos);
+        startIntervalIfDue(0, nowNanos);
         return Duration.ofNanos(previousSmallestNanos);
     }
 
-    private void startIntervalIfDue(long nowNanos) {
+    private void startIntervalIfDue(long delayNanos, long nowNanos) {
         long elapsedNanos = nowNanos - intervalStartNanos;
         if (elapsedNanos < INTERVAL.toNanos()) {
             return;
         }
         boolean consecutive = elapsedNanos < 2 * INTERVAL.toNanos();
-        previousSmallestNanos = consecutive && smallestNanos != Long.MAX_VALUE ? smallestNanos : 0;
+        if (consecutive) {
+            previousSmallestNanos = smallestNanos == Long.MAX_VALUE ? 0 : smallestNanos;
+        } else {
+            // What waited for a whole interval shows that nothing faster was acted on in it.
+            previousSmallestNanos = delayNanos >= INTERVAL.toNanos() ? delayNanos : 0;
+        }
         smallestNanos = Long.MAX_VALUE;
         intervalStartNanos = nowNanos;
     }
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -6,6 +6,8 @@
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.control.CompactedLogConsumer;
 import org.gypsumflow.control.ConnectionManager;
+import org.gypsumflow.control.ReceptionMonitor;
+import org.gypsumflow.control.ReceptionProgress;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.GrizzlyHttpServer;
 import org.gypsumflow.model.MemberName;
@@ -22,7 +24,10 @@
      */
     private static final Duration ACCEPT_AFTER_NOT_READY = Duration.ofMillis(2200);
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final BestEffortEntry entry;
+    private final ReceptionProgress receptionProgress;
     private volatile boolean draining;
 
     BestEffortEntryDaemon(BestEffortSettings settings) {
@@ -36,17 +41,35 @@
                 metrics()::recordOutcome,
                 settings.features(),
                 metrics()::countDecision);
+        this.receptionProgress = settings.features().overloadControl()
+                ? ReceptionMonitor.start(trafficExecutor(), TimeSource.system(), entry::recordTimerDelay)
+                : super.receptionProgress();
+        metrics()
+                .addGauge(
+                        "processing_delay_seconds", () -> entry.standingDelay().toNanos() / NANOS_PER_SECOND);
+        metrics().addGauge("job_limit", this::jobLimit);
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
                 httpServer,
                 () -> routingState().current().table(),
+                entry::rejectIfTooLate,
                 entry::submit,
                 entry::cancel,
                 entry::isActive,
                 events());
     }
 
+    private double jobLimit() {
+        int limit = entry.jobLimit();
+        return limit == Integer.MAX_VALUE ? Double.POSITIVE_INFINITY : limit;
+    }
+
+    @Override
+    ReceptionProgress receptionProgress() {
+        return receptionProgress;
+    }
+
     @Override
     ConnectionManager.MemberListener memberListener() {
         return entry;
--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -61,6 +61,8 @@
      * @param headers returns the value of a header, or null if it is absent
      * @param parameters returns the decoded value of a query parameter, or null if it is absent
      * @param body content; empty if the request has none
+     * @param arrivedNanos monotonic time at which the server's thread found the request, in nanoseconds; a request that
+     *     arrives while the thread is busy is found later
      * @param disconnected completes if the client closes its connection before the response
      */
     public record ServerRequest(
@@ -69,6 +71,7 @@
             UnaryOperator<String> headers,
             UnaryOperator<String> parameters,
             byte[] body,
+            long arrivedNanos,
             CompletableFuture<Void> disconnected) {}
 
     /**
@@ -334,7 +337,8 @@
             }
             NIOInputStream input = request.getNIOInputStream();
             response.suspend();
-            input.notifyAvailable(new BodyReader(input, request, response), MAX_BODY_BYTES + 1);
+            BodyReader reader = new BodyReader(input, request, response, System.nanoTime());
+            input.notifyAvailable(reader, MAX_BODY_BYTES + 1);
         }
     }
 
@@ -343,11 +347,13 @@
         private final NIOInputStream input;
         private final Request request;
         private final Response response;
+        private final long arrivedNanos;
 
-        private BodyReader(NIOInputStream input, Request request, Response response) {
+        private BodyReader(NIOInputStream input, Request request, Response response, long arrivedNanos) {
             this.input = input;
             this.request = request;
             this.response = response;
+            this.arrivedNanos = arrivedNanos;
         }
 
         /**
@@ -372,7 +378,7 @@
                 writeAndResume(response, errorResponse(bodyTooLarge()));
                 return;
             }
-            dispatch(request, response, input.readNBytes(length));
+            dispatch(request, response, input.readNBytes(length), arrivedNanos);
         }
 
         @Override
@@ -385,7 +391,7 @@
         return RequestError.notRun(ErrorCode.BODY_TOO_LARGE, "the body is larger than " + MAX_BODY_BYTES + " bytes");
     }
 
-    private void dispatch(Request request, Response response, byte[] body) {
+    private void dispatch(Request request, Response response, byte[] body, long arrivedNanos) {
         String method = request.getMethod().getMethodString();
         Optional<Map.Entry<HandlerKey, RequestHandler>> handler = findHandler(method, request.getRequestURI());
         if (handler.isEmpty() && defaultHandler == null && !handlersByPort.containsKey(request.getLocalPort())) {
@@ -413,6 +419,7 @@
                 request::getHeader,
                 request::getParameter,
                 body,
+                arrivedNanos,
                 disconnected);
         RequestHandler pathHandler = handler.map(Map.Entry::getValue).orElse(defaultHandler);
         RequestHandler requestHandler = handlersByPort.getOrDefault(request.getLocalPort(), pathHandler);
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,10 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** An entry does what arrives later than its jobs allow. */
+    OVERLOAD_BEGAN(631, Level.WARN, "overloaded: acts {} ms late on what arrives, {} active jobs, limit {}"),
+    /** An entry keeps up again. */
+    OVERLOAD_ENDED(632, Level.INFO, "keeps up again after {} ms of overload, {} requests rejected, acts {} ms late"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/platform/JobResource.java
+++ b/src/main/java/org/gypsumflow/platform/JobResource.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RoutingTable;
 import org.gypsumflow.model.ValidationException;
 
@@ -45,15 +46,31 @@
          * Accepts a job and runs it.
          *
          * @param job job to run
-         * @param timeLeft time from now until the caller stops waiting
+         * @param arrivedNanos monotonic time at which the request arrived, in nanoseconds
+         * @param timeLeft time from the arrival until the caller stops waiting
          * @param disconnected completes when the caller's connection closes before the response
          * @return the outcome of the job
          */
         CompletableFuture<BestEffortOutcome> submit(
-                BestEffortJob job, Duration timeLeft, CompletableFuture<Void> disconnected);
+                BestEffortJob job, long arrivedNanos, Duration timeLeft, CompletableFuture<Void> disconnected);
+    }
+
+    /** Rejects requests before their bodies are parsed. */
+    @FunctionalInterface
+    public interface EarlyRejection {
+        /**
+         * Rejects a request that is too late to be served.
+         *
+         * @param job id of the job
+         * @param route route of the job
+         * @param arrivedNanos monotonic time at which the request arrived, in nanoseconds
+         * @return the outcome of a request that is rejected; empty to go on with it
+         */
+        CompletableFuture<Optional<BestEffortOutcome>> reject(JobId job, RouteName route, long arrivedNanos);
     }
 
     private final Supplier<RoutingTable> routes;
+    private final EarlyRejection earlyRejection;
     private final Submitter submitter;
     private final Function<JobId, CompletableFuture<Boolean>> canceller;
     private final Function<JobId, CompletableFuture<Boolean>> isActive;
@@ -61,11 +78,13 @@
 
     private JobResource(
             Supplier<RoutingTable> routes,
+            EarlyRejection earlyRejection,
             Submitter submitter,
             Function<JobId, CompletableFuture<Boolean>> canceller,
             Function<JobId, CompletableFuture<Boolean>> isActive,
             EventLog events) {
         this.routes = routes;
+        this.earlyRejection = earlyRejection;
         this.submitter = submitter;
         this.canceller = canceller;
         this.isActive = isActive;
@@ -77,6 +96,7 @@
      *
      * @param server server to register with
      * @param routes supplies the routes that are applied now
+     * @param earlyRejection rejects submissions that are too late
      * @param submitter accepts and runs jobs
      * @param canceller cancels a job and returns whether it was active
      * @param isActive returns whether a job is active
@@ -85,11 +105,12 @@
     public static void register(
             GrizzlyHttpServer server,
             Supplier<RoutingTable> routes,
+            EarlyRejection earlyRejection,
             Submitter submitter,
             Function<JobId, CompletableFuture<Boolean>> canceller,
             Function<JobId, CompletableFuture<Boolean>> isActive,
             EventLog events) {
-        JobResource resource = new JobResource(routes, submitter, canceller, isActive, events);
+        JobResource resource = new JobResource(routes, earlyRejection, submitter, canceller, isActive, events);
         server.setDefaultHandler(resource::handle);
     }
 
@@ -115,18 +136,38 @@
                 default -> completed(error(METHOD_NOT_ALLOWED, "method " + request.method() + " is not supported"));
             };
         } catch (ValidationException invalid) {
-            events.write(Event.MESSAGE_UNREADABLE, "a request", invalid.getMessage());
-            return completed(error(BAD_REQUEST, invalid.getMessage()));
+            return rejectInvalid(invalid);
         }
     }
 
+    private CompletableFuture<ServerResponse> rejectInvalid(ValidationException invalid) {
+        events.write(Event.MESSAGE_UNREADABLE, "a request", invalid.getMessage());
+        return completed(error(BAD_REQUEST, invalid.getMessage()));
+    }
+
     private CompletableFuture<ServerResponse> submit(JobId id, Route route, long routesVersion, ServerRequest request) {
+        return earlyRejection.reject(id, route.name(), request.arrivedNanos()).thenCompose(rejection -> rejection
+                .map(outcome -> completed(toResponse(outcome)))
+                .orElseGet(() -> parseAndSubmit(id, route, routesVersion, request)));
+    }
+
+    private CompletableFuture<ServerResponse> parseAndSubmit(
+            JobId id, Route route, long routesVersion, ServerRequest request) {
+        try {
+            return submitParsed(id, route, routesVersion, request);
+        } catch (ValidationException invalid) {
+            return rejectInvalid(invalid);
+        }
+    }
+
+    private CompletableFuture<ServerResponse> submitParsed(
+            JobId id, Route route, long routesVersion, ServerRequest request) {
         Optional<BestEffortJob> job = BestEffortJobParser.parse(id, route, routesVersion, request.body());
         if (job.isEmpty()) {
             return completed(error(UNAVAILABLE, "jobs of this kind are not supported"));
         }
         return submitter
-                .submit(job.get(), deadline(request), request.disconnected())
+                .submit(job.get(), request.arrivedNanos(), deadline(request), request.disconnected())
                 .thenApply(JobResource::toResponse);
     }
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -42,6 +42,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.traffic.JobHandovers.Submission;
 import org.gypsumflow.traffic.PauseDetector.Pause;
 import org.gypsumflow.traffic.PeerPaths.PeerPath;
@@ -68,6 +69,7 @@
     private final JobAnnouncements announcements;
     private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
+    private final JobAdmission admission;
     private final JobObserver observer;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
@@ -104,6 +106,15 @@
                 events,
                 observer);
         this.announcements = new JobAnnouncements(time, peers, dispatcher, handovers, jobOwners);
+        this.admission = new JobAdmission(
+                executor,
+                time,
+                events,
+                counter,
+                dispatcher::activeJobCount,
+                this::mayHaveBeenSentBefore,
+                this::acceptUnlessDraining,
+                this::completeRejected);
     }
 
     /**
@@ -211,7 +222,7 @@
         }
         List<Submission> submissions = handovers.releaseHeldBack();
         events.write(Event.JOBS_RELEASED, reason, submissions.size());
-        submissions.forEach(this::accept);
+        submissions.forEach(features.overloadControl() ? admission::add : this::accept);
     }
 
     /** Stops the periodic work; active jobs are left alone. */
@@ -263,18 +274,113 @@
             BestEffortJob job, Duration remainingTime, CompletableFuture<Void> disconnected) {
         CompletableFuture<BestEffortOutcome> outcome = new CompletableFuture<>();
         executor.execute(() -> {
-            detectPause();
-            if (drained != null) {
-                counter.increment("jobs_rejected", "draining");
-                outcome.complete(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
-                return;
-            }
             long nowNanos = time.nanoTime();
-            accept(new Submission(job, nowNanos, nowNanos + remainingTime.toNanos(), outcome::complete, disconnected));
+            acceptUnlessDraining(
+                    new Submission(job, nowNanos, nowNanos + remainingTime.toNanos(), outcome::complete, disconnected));
         });
         return outcome;
     }
 
+    /**
+     * Accepts a job as {@link #submit(BestEffortJob, Duration, CompletableFuture)} does. With overload control it waits
+     * for its turn first, and is rejected if that comes too late while this entry is overloaded.
+     *
+     * @param job the job
+     * @param arrivedNanos monotonic time at which the request arrived, in nanoseconds
+     * @param remainingTime how long the caller waits from the arrival
+     * @param disconnected completes if the caller closes its connection before the outcome
+     * @return the outcome; may never complete once the caller has disconnected
+     */
+    public CompletableFuture<BestEffortOutcome> submit(
+            BestEffortJob job, long arrivedNanos, Duration remainingTime, CompletableFuture<Void> disconnected) {
+        if (!features.overloadControl()) {
+            return submit(job, remainingTime, disconnected);
+        }
+        CompletableFuture<BestEffortOutcome> outcome = new CompletableFuture<>();
+        admission.submit(new Submission(
+                job, arrivedNanos, arrivedNanos + remainingTime.toNanos(), outcome::complete, disconnected));
+        return outcome;
+    }
+
+    /**
+     * Rejects a request that has waited so long that its job cannot be in time, if this entry is overloaded and the job
+     * was certainly not sent before.
+     *
+     * @param job id of the job
+     * @param route route of the job
+     * @param arrivedNanos monotonic time at which the request arrived, in nanoseconds
+     * @return the outcome of the job if it is rejected, otherwise empty
+     */
+    public CompletableFuture<Optional<BestEffortOutcome>> rejectIfTooLate(
+            JobId job, RouteName route, long arrivedNanos) {
+        if (!admission.isTooLate(route, arrivedNanos)) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        CompletableFuture<Optional<BestEffortOutcome>> rejection = new CompletableFuture<>();
+        executor.execute(() -> {
+            Optional<BestEffortOutcome> outcome = admission.rejectUnparsed(job);
+            outcome.ifPresent(rejected ->
+                    observer.outcomeDecided(route, rejected, Duration.ofNanos(time.nanoTime() - arrivedNanos)));
+            rejection.complete(outcome);
+        });
+        return rejection;
+    }
+
+    /**
+     * Records how late a periodic action of the traffic executor ran, which shows whether this entry keeps up.
+     *
+     * @param late time between its due time and its start
+     */
+    public void recordTimerDelay(Duration late) {
+        if (features.overloadControl()) {
+            admission.timerRan(late);
+        }
+    }
+
+    /**
+     * Returns how late this entry acts on what arrives.
+     *
+     * @return smallest delay of the last interval; zero without overload control
+     */
+    public Duration standingDelay() {
+        return admission.standingDelay();
+    }
+
+    /**
+     * Returns how many jobs this entry has at a time before others wait.
+     *
+     * @return the limit; {@link Integer#MAX_VALUE} while it keeps up
+     */
+    public int jobLimit() {
+        return admission.limit();
+    }
+
+    private boolean mayHaveBeenSentBefore(JobId job) {
+        return barrier.isUp()
+                || dispatcher.isUnended(job)
+                || handovers.isAwaited(job)
+                || handovers.isPending(job)
+                || jobOwners.ownerOf(job, time.nanoTime()).isPresent();
+    }
+
+    private void acceptUnlessDraining(Submission submission) {
+        detectPause();
+        if (drained != null) {
+            counter.increment("jobs_rejected", "draining");
+            submission.callback().accept(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
+            return;
+        }
+        accept(submission);
+    }
+
+    private void completeRejected(Submission submission, BestEffortOutcome outcome) {
+        observer.outcomeDecided(
+                submission.job().route().name(),
+                outcome,
+                Duration.ofNanos(time.nanoTime() - submission.submittedNanos()));
+        submission.callback().accept(outcome);
+    }
+
     private void accept(Submission submission) {
         if (handovers.join(submission)) {
             return;
@@ -322,6 +428,7 @@
         long nowNanos = time.nanoTime();
         dispatcher.submit(
                 submission.job(),
+                features.overloadControl() ? submission.submittedNanos() : nowNanos,
                 nowNanos,
                 Duration.ofNanos(submission.deadlineNanos() - nowNanos),
                 submission.callback());
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.control.ManualExecutor;
@@ -69,13 +71,19 @@
     }
 
     private void startEntry() {
+        startEntry(DispatchFeatures.none());
+    }
+
+    private void startEntry(DispatchFeatures features) {
         entry = BestEffortEntry.create(
                 executor,
                 executor.timeSource(),
                 EarliestFinishPlacement.policy(),
                 RoutingStateCache.create((event, details) -> {}),
                 (event, details) -> {},
-                JobObserver.none());
+                JobObserver.none(),
+                features,
+                DecisionCounter.none());
         entry.start();
     }
 
@@ -875,4 +883,47 @@
         assertTrue(relayedToPeer().isEmpty());
         assertTrue(peer.sent().contains(new ShareJobs(List.of(JOB))));
     }
+
+    private void startOverloadedEntry() {
+        startEntry(new DispatchFeatures(true, false, false, false, false));
+        entry.peersDiscovered(Set.of());
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        connectAgent();
+        submitArrivedBefore(JobId.of("00000000000000f0"), 0);
+        for (int step = 0; step < 6; step++) {
+            executor.advance(50);
+            entry.recordTimerDelay(Duration.ofMillis(50));
+        }
+        assertTrue(entry.standingDelay().compareTo(Duration.ZERO) > 0);
+    }
+
+    private CompletableFuture<BestEffortOutcome> submitArrivedBefore(JobId id, long millis) {
+        BestEffortJob job = new BestEffortJob(id, ROUTE, 1, "", 1, Resources.of(1000, 10, 0), Duration.ofMillis(300));
+        long arrivedNanos =
+                executor.timeSource().nanoTime() - Duration.ofMillis(millis).toNanos();
+        return entry.submit(job, arrivedNanos, REMAINING_TIME, new CompletableFuture<>());
+    }
+
+    // Load: more requests than the processor carries.
+    @Test
+    public void anOverloadedEntryRejectsAJobThatCannotBeInTimeAsNotRun() {
+        startOverloadedEntry();
+        agent.sent().clear();
+        CompletableFuture<BestEffortOutcome> late = submitArrivedBefore(JOB, 500);
+        executor.advance(10);
+        assertEquals(verdict(late), Verdict.NOT_RUN);
+        assertEquals(assignments(), List.of());
+        assertTrue(entry.rejectIfTooLate(JOB, ROUTE.name(), 0).join().isPresent());
+    }
+
+    @Test
+    public void anOverloadedEntryDoesNotCallAJobNotRunThatAPeerOwns() {
+        startOverloadedEntry();
+        entry.jobMessageReceived(PEER, new ShareJobs(List.of(JOB)));
+        assertTrue(entry.rejectIfTooLate(JOB, ROUTE.name(), 0).join().isEmpty());
+        CompletableFuture<BestEffortOutcome> late = submitArrivedBefore(JOB, 500);
+        executor.advance(10);
+        assertFalse(late.isDone());
+        assertEquals(sentTo(peer, AbandonJob.class).size(), 1);
+    }
 }
--- a/src/test/java/org/gypsumflow/world/BestEffortHistory.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortHistory.java
@@ -206,6 +206,9 @@
         }
         scheduleJobs();
         scheduleFaults();
+        if (BestEffortSimulation.hasOverloadControl(seed)) {
+            scheduleBusyTimes();
+        }
         simulation.clock.advance(WARM_UP.plus(FAULT_PERIOD));
         // Faults extend the time of the last fault when they are injected, so that it is known from here on.
         lastFaultNanos = Math.max(lastFaultNanos, simulation.clock.nanos());
@@ -242,6 +245,21 @@
         }
     }
 
+    /** Entries that are too busy to read their messages; drawn apart, so that the other faults of a seed stay. */
+    private void scheduleBusyTimes() {
+        Random busyTimes = new Random(seed * 37 + 5);
+        for (int index = busyTimes.nextInt(6); index > 0; index--) {
+            Duration start = WARM_UP.plusMillis(busyTimes.nextInt((int) FAULT_PERIOD.toMillis()));
+            Duration duration = Duration.ofMillis(50 + busyTimes.nextInt(2000));
+            String entry = "entry-" + (1 + busyTimes.nextInt(ENTRIES));
+            simulation.clock.schedule(start, () -> {
+                simulation.trace(entry + " reads no messages for " + duration.toMillis() + " ms");
+                faultLastsFor(duration);
+                simulation.entries.get(entry).process.holdUpMessages(duration);
+            });
+        }
+    }
+
     private boolean isInjected(Fault fault) {
         if (excluded.contains(fault)) {
             return false;
--- a/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -10,10 +10,15 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.control.ConnectionManager;
+import org.gypsumflow.control.ReceptionMonitor;
+import org.gypsumflow.control.ReceptionProgress;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.model.AvailabilityZone;
@@ -108,14 +113,21 @@
     final List<String> traceLines = new ArrayList<>();
     private final Random random;
     private final boolean traced;
+    private final DispatchFeatures features;
     private int incarnationCount;
 
     BestEffortSimulation(long seed, boolean traced) {
         this.random = new Random(seed);
+        this.features = new DispatchFeatures(hasOverloadControl(seed), false, false, false, false);
         this.network = new MemberNetwork(clock, random);
         this.traced = traced;
     }
 
+    /** Entries have overload control in every second history. */
+    static boolean hasOverloadControl(long seed) {
+        return seed % 2 == 0;
+    }
+
     static String seconds(long nanos) {
         return String.format(Locale.ROOT, "%.4f s", nanos / 1e9);
     }
@@ -163,7 +175,13 @@
                 EarliestFinishPlacement.policy(),
                 RoutingStateCache.create(events),
                 events,
-                JobObserver.none());
+                JobObserver.none(),
+                features,
+                DecisionCounter.none());
+        ReceptionProgress receptionProgress = features.overloadControl()
+                ? ReceptionMonitor.start(
+                        process.newNetworkExecutor(), process.timeSource(), recordDelayOn(traffic, host.instance))
+                : process.timeSource()::nanoTime;
         host.connections = ConnectionManager.create(
                 host.member,
                 nextIncarnation(host.member),
@@ -171,7 +189,8 @@
                 process.timeSource(),
                 network.connectorOf(process),
                 host.instance,
-                events);
+                events,
+                receptionProgress);
         network.listen(host.member.name(), process, host.connections);
         host.connections.start();
         host.instance.start();
@@ -184,6 +203,10 @@
         discoverPeers(host, storeRead);
     }
 
+    private static Consumer<Duration> recordDelayOn(SerialExecutor traffic, BestEffortEntry entry) {
+        return delay -> traffic.execute(() -> entry.recordTimerDelay(delay));
+    }
+
     private void discoverPeers(EntryHost host, Duration storeRead) {
         Set<MemberName> peers = entries.values().stream()
                 .map(entry -> entry.member.name())
@@ -283,7 +306,8 @@
         BestEffortEntry instance = host.instance;
         clock.schedule(
                 latency(),
-                () -> attempt.process.run(() -> instance.submit(job, timeLeft, attempt.disconnected)
+                () -> attempt.process.run(() -> instance.submit(
+                                job, attempt.process.timeSource().nanoTime(), timeLeft, attempt.disconnected)
                         .thenAccept(outcome -> decided(attempt, outcome))));
         return attempt;
     }
--- a/src/test/java/org/gypsumflow/world/MemberProcess.java
+++ b/src/test/java/org/gypsumflow/world/MemberProcess.java
@@ -98,6 +98,18 @@
         network.run(action);
     }
 
+    /** Holds up the threads that read and handle messages, as when they are busy, while the control thread goes on. */
+    void holdUpMessages(Duration duration) {
+        if (!isPaused()) {
+            List.of(network, traffic).forEach(FakeProcess::pause);
+            clock.schedule(duration, () -> List.of(network, traffic).forEach(FakeProcess::resume));
+        }
+    }
+
+    SerialExecutor newNetworkExecutor() {
+        return newExecutor(network);
+    }
+
     SerialExecutor newControlExecutor() {
         return newExecutor(control);
     }
