--- a/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
+++ b/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
@@ -29,6 +29,8 @@
 public final class AdmissionControl<R> {
     /** Number of requests taken on in a turn; messages that have arrived are handled between two turns. */
     public static final int REQUESTS_PER_TURN = 8;
+    /** The same while overloaded, when a turn of many would hold up the messages for longer than they may wait. */
+    public static final int REQUESTS_PER_TURN_OVERLOADED = 1;
     /** Number of requests that may wait; more than an entry takes on within the latency objective of its jobs. */
     public static final int MAX_WAITING = 2000;
 
@@ -90,9 +92,10 @@
      *
      * @param admitted requests to take on, in this order
      * @param rejected requests to reject
+     * @param limitReached true if others wait because of the limit on jobs
      * @param <R> type of the requests
      */
-    public record Turn<R>(List<R> admitted, List<Rejection<R>> rejected) {}
+    public record Turn<R>(List<R> admitted, List<Rejection<R>> rejected, boolean limitReached) {}
 
     /**
      * An overload that began or ended.
@@ -221,21 +224,23 @@
     public Turn<R> takeTurn(int activeJobs, long nowNanos) {
         waiting.removeIf(request -> abandoned.test(request.request()));
         List<Rejection<R>> rejected = new ArrayList<>();
-        if (overloaded && !isLow(delay.standing(nowNanos))) {
+        boolean late = overloaded && !isLow(delay.standing(nowNanos));
+        if (late) {
             rejectThoseTooLate(rejected, nowNanos);
         }
         rejectBeyond(MAX_WAITING, rejected);
         List<R> admitted = new ArrayList<>();
-        while (!waiting.isEmpty() && admitted.size() < REQUESTS_PER_TURN) {
-            if (activeJobs + admitted.size() >= limit) {
-                limitReached = true;
-                break;
-            }
+        int most = overloaded ? REQUESTS_PER_TURN_OVERLOADED : REQUESTS_PER_TURN;
+        // While the delay is low, processor time is left, and nothing is gained by a wait.
+        int room = late ? limit - activeJobs : Integer.MAX_VALUE;
+        while (!waiting.isEmpty() && admitted.size() < Math.min(most, room)) {
             admitted.add((overloaded ? waiting.removeLast() : waiting.removeFirst()).request());
         }
+        boolean reached = !waiting.isEmpty() && admitted.size() >= room;
+        limitReached |= reached;
         admittedInInterval |= !admitted.isEmpty();
         countForDrainTime(admitted.size(), rejected.size(), nowNanos);
-        return new Turn<>(admitted, rejected);
+        return new Turn<>(admitted, rejected, reached);
     }
 
     /**
--- a/src/main/java/org/gypsumflow/traffic/JobAdmission.java
+++ b/src/main/java/org/gypsumflow/traffic/JobAdmission.java
@@ -25,7 +25,7 @@
 import org.gypsumflow.traffic.JobHandovers.Submission;
 
 /**
- * Lets new jobs wait beside the traffic thread and takes a few of them at a time, so that this thread handles what its
+ * Lets new jobs wait beside the traffic thread and takes few of them at a time, so that this thread handles what its
  * connections have received before it takes more.
  *
  * <p>Jobs are added, and the published values are read, on any thread; everything else is confined to the traffic thread.
@@ -180,8 +180,7 @@
         turn.rejected().forEach(this::reject);
         turn.admitted().forEach(intake);
         if (control.hasWaiting()) {
-            boolean limitReached = turn.admitted().size() < AdmissionControl.REQUESTS_PER_TURN;
-            scheduleTurn(limitReached ? TURN_DELAY_AT_LIMIT : Duration.ZERO);
+            scheduleTurn(turn.limitReached() ? TURN_DELAY_AT_LIMIT : Duration.ZERO);
         }
     }
 
