Cancel jobs that wait for their turn, and describe the admission of jobs

A job that was cancelled while it waited beside the traffic thread was taken on afterwards. Both a cancellation and a peer that takes the job over now end its wait; the state of such a job is running, and a draining entry waits for its outcome.

--- a/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
+++ b/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
@@ -311,6 +311,28 @@
         return !waiting.isEmpty();
     }
 
+    /**
+     * Removes requests that wait.
+     *
+     * @param which tells which ones
+     * @return the removed requests
+     */
+    public List<R> remove(Predicate<R> which) {
+        List<R> removed = waiting.stream().map(Waiting::request).filter(which).toList();
+        waiting.removeIf(request -> which.test(request.request()));
+        return removed;
+    }
+
+    /**
+     * Returns whether a request waits.
+     *
+     * @param which tells which ones are meant
+     * @return true if at least one of them waits
+     */
+    public boolean isWaiting(Predicate<R> which) {
+        return waiting.stream().map(Waiting::request).anyMatch(which);
+    }
+
     private void rejectThoseTooLate(List<Rejection<R>> rejected, long nowNanos) {
         long standingNanos = delay.standing(nowNanos).toNanos();
         for (Iterator<Waiting<R>> remaining = waiting.iterator(); remaining.hasNext(); ) {
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -478,7 +478,8 @@
      */
     public CompletableFuture<Boolean> isActive(JobId job) {
         CompletableFuture<Boolean> active = new CompletableFuture<>();
-        executor.execute(() -> active.complete(dispatcher.isActive(job) || handovers.isAwaited(job)));
+        executor.execute(() ->
+                active.complete(dispatcher.isActive(job) || handovers.isAwaited(job) || admission.isWaiting(job)));
         return active;
     }
 
@@ -599,7 +600,9 @@
             return;
         }
         boolean wasActive = dispatcher.abandon(job);
-        handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
+        BestEffortOutcome sentElsewhere = BestEffortOutcome.mayHaveRun("the caller sent this job to another host");
+        handovers.giveUp(job, sentElsewhere);
+        admission.giveUp(job, sentElsewhere);
         jobOwners.recordOwner(from, job, time.nanoTime());
         JobAbandoned reply = new JobAbandoned(job, wasActive);
         replyPath.ifPresent(
@@ -608,7 +611,8 @@
 
     private boolean cancelHere(JobId job) {
         boolean waited = handovers.giveUp(job, BestEffortOutcome.ofCancelled());
-        return dispatcher.cancel(job) || waited;
+        boolean waitedForTurn = admission.giveUp(job, BestEffortOutcome.ofCancelled());
+        return dispatcher.cancel(job) || waited || waitedForTurn;
     }
 
     private void abandonAllJobs(String reason) {
@@ -658,7 +662,7 @@
     }
 
     private void completeDrainIfIdle() {
-        if (drained != null && activeJobCount() == 0) {
+        if (drained != null && activeJobCount() == 0 && !admission.hasWaiting()) {
             drained.complete(null);
         }
     }
--- a/src/main/java/org/gypsumflow/traffic/JobAdmission.java
+++ b/src/main/java/org/gypsumflow/traffic/JobAdmission.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.traffic;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -97,6 +98,24 @@
         scheduleTurn(Duration.ZERO);
     }
 
+    /** Completes the submissions of a job that wait for their turn; returns whether any did. */
+    boolean giveUp(JobId job, BestEffortOutcome outcome) {
+        List<Submission> given =
+                control.remove(submission -> submission.job().id().equals(job));
+        given.forEach(submission -> completer.accept(submission, outcome));
+        return !given.isEmpty();
+    }
+
+    /** Returns whether a job waits for its turn. */
+    boolean isWaiting(JobId job) {
+        return control.isWaiting(submission -> submission.job().id().equals(job));
+    }
+
+    /** Returns whether any job waits for its turn. */
+    boolean hasWaiting() {
+        return control.hasWaiting();
+    }
+
     /** Returns whether a request has waited too long, by what was last published; called on any thread. */
     boolean isTooLate(RouteName route, long arrivedNanos) {
         Duration longestWait = longestWaits.get(route);
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -926,4 +926,17 @@
         assertFalse(late.isDone());
         assertEquals(sentTo(peer, AbandonJob.class).size(), 1);
     }
+
+    // Guards against a cancelled job that runs: it still waited for its turn, where the cancellation did not look.
+    @Test
+    public void aJobThatIsCancelledBeforeItsTurnDoesNotStart() {
+        startOverloadedEntry();
+        agent.sent().clear();
+        CompletableFuture<BestEffortOutcome> outcome = submitArrivedBefore(JOB, 0);
+        assertTrue(entry.isActive(JOB).join());
+        assertTrue(entry.cancel(JOB).join());
+        executor.advance(100);
+        assertTrue(outcome.join().cancelled());
+        assertEquals(assignments(), List.of());
+    }
 }
