Reject late requests that newer ones have overtaken

The wait for the turn now counts towards the delay before an overload, and keeps an overload from ending.

--- a/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
+++ b/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
@@ -223,19 +223,26 @@
      */
     public Turn<R> takeTurn(int activeJobs, long nowNanos) {
         waiting.removeIf(request -> abandoned.test(request.request()));
+        int most = overloaded ? REQUESTS_PER_TURN_OVERLOADED : REQUESTS_PER_TURN;
+        // While the delay is low, processor time is left, and nothing is gained by a wait.
+        boolean limited = overloaded && !isLow(delay.standing(nowNanos));
+        int room = limited ? limit - activeJobs : Integer.MAX_VALUE;
         List<Rejection<R>> rejected = new ArrayList<>();
-        boolean late = overloaded && !isLow(delay.standing(nowNanos));
-        if (late) {
+        if (limited) {
             rejectThoseTooLate(rejected, nowNanos);
         }
-        rejectBeyond(MAX_WAITING, rejected);
         List<R> admitted = new ArrayList<>();
-        int most = overloaded ? REQUESTS_PER_TURN_OVERLOADED : REQUESTS_PER_TURN;
-        // While the delay is low, processor time is left, and nothing is gained by a wait.
-        int room = late ? limit - activeJobs : Integer.MAX_VALUE;
         while (!waiting.isEmpty() && admitted.size() < Math.min(most, room)) {
             admitted.add((overloaded ? waiting.removeLast() : waiting.removeFirst()).request());
         }
+        if (overloaded) {
+            // Newer requests are taken first, so that those left behind would wait until their callers give up.
+            rejectThoseTooLate(rejected, nowNanos);
+        }
+        rejectBeyond(MAX_WAITING, rejected);
+        if (!waiting.isEmpty() && nowNanos - waiting.peekFirst().arrivedNanos() > target.toNanos()) {
+            lastLateNanos = nowNanos;
+        }
         boolean reached = !waiting.isEmpty() && admitted.size() >= room;
         limitReached |= reached;
         admittedInInterval |= !admitted.isEmpty();
--- a/src/main/java/org/gypsumflow/traffic/JobAdmission.java
+++ b/src/main/java/org/gypsumflow/traffic/JobAdmission.java
@@ -33,7 +33,7 @@
  */
 final class JobAdmission {
     /** Time until the next turn while the limit on jobs is reached; jobs end more often than this. */
-    private static final Duration TURN_DELAY_AT_LIMIT = Duration.ofMillis(5);
+    private static final Duration TURN_DELAY_AT_LIMIT = Duration.ofMillis(20);
 
     private static final String REJECTED = "jobs_rejected";
     private static final String OVERLOADED = "this host has more jobs than it can start in time";
@@ -153,8 +153,9 @@
     private void takeArrivals() {
         arrivalsSignalled.set(false);
         for (Submission arrival = arrivals.poll(); arrival != null; arrival = arrivals.poll()) {
-            recordDelay(Duration.ofNanos(time.nanoTime() - arrival.submittedNanos()));
-            requestDelayRecorded = true;
+            if (control.isOverloaded()) {
+                recordWaitOf(arrival);
+            }
             if (maybeKnown.test(arrival.job().id())) {
                 intake.accept(arrival);
             } else {
@@ -163,6 +164,11 @@
         }
     }
 
+    private void recordWaitOf(Submission submission) {
+        recordDelay(Duration.ofNanos(time.nanoTime() - submission.submittedNanos()));
+        requestDelayRecorded = true;
+    }
+
     private void recordDelay(Duration late) {
         long nowNanos = time.nanoTime();
         Optional<Change> change = control.recordDelay(late, activeJobs.getAsInt(), nowNanos);
@@ -196,6 +202,10 @@
     private void takeTurn() {
         turnScheduled = false;
         Turn<Submission> turn = control.takeTurn(activeJobs.getAsInt(), time.nanoTime());
+        if (!control.isOverloaded()) {
+            // Under overload requests wait for their turn by decision, which says nothing about the processor.
+            turn.admitted().forEach(this::recordWaitOf);
+        }
         turn.rejected().forEach(this::reject);
         turn.admitted().forEach(intake);
         if (control.hasWaiting()) {
--- a/src/test/java/org/gypsumflow/command/admission/AdmissionControlTest.java
+++ b/src/test/java/org/gypsumflow/command/admission/AdmissionControlTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.gypsumflow.command.admission.AdmissionControl.Cause;
+import org.gypsumflow.command.admission.AdmissionControl.Rejection;
 import org.gypsumflow.command.admission.AdmissionControl.Turn;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.JobId;
@@ -160,6 +162,21 @@
         assertEquals(turn.admitted(), List.of(1));
     }
 
+    // Load: a steady excess that waits for its turn while what arrives is looked at promptly. Guards against callers
+    // that
+    // got no response: newer requests went first, and the older ones were not rejected either.
+    @Test
+    public void aLateRequestBehindNewerOnesIsRejectedAlthoughTheDelayIsLow() {
+        overload();
+        passIntervalsWithDelay(1, 0);
+        add(1);
+        nowMillis += SLACK_MILLIS + 1;
+        add(2);
+        Turn<Integer> turn = takeTurn(0);
+        assertEquals(turn.admitted(), List.of(2));
+        assertEquals(turn.rejected(), List.of(new Rejection<>(1, Cause.TOO_LATE)));
+    }
+
     // Load: more jobs than an overloaded entry can have at a time, then fewer.
     @Test
     public void theLimitFallsBelowTheActiveJobsWhileLateAndGrowsWhileItBinds() {
