--- a/src/main/java/org/gypsumflow/bench/Rehearsal.java
+++ b/src/main/java/org/gypsumflow/bench/Rehearsal.java
@@ -26,6 +26,8 @@
     private static final int MAX_POLLS = 100;
     private static final int JOBS = 20;
     private static final int OK = 200;
+    /** Settings of the dispatch section that switch on parts whose classes are to get into the archive. */
+    private static final String OPTIONAL_PARTS = "overload-control = true";
 
     private Rehearsal() {}
 
@@ -54,7 +56,8 @@
         System.exit(succeeded == JOBS ? 0 : 1);
     }
 
-    private static RunningDaemon start(String settings) {
+    private static RunningDaemon start(String clusterSettings) {
+        String settings = String.join("\n", clusterSettings, OPTIONAL_PARTS);
         checkSettingsFile(settings);
         Daemon daemon = Daemon.start(SettingsReader.parse(settings));
         return new RunningDaemon(daemon.httpPort(), daemon::abort);
--- a/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
+++ b/src/main/java/org/gypsumflow/command/admission/AdmissionControl.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.RouteName;
@@ -20,7 +21,7 @@
  * <p>While the entry keeps up, it takes on each job, the oldest first. It is overloaded while what it does comes late by
  * more than a share of the latency allowance of its jobs for a whole interval. It then takes on the newest jobs first,
  * since those can still be in time, and at most as many at a time as a limit that follows the delay. A job that waits
- * until it cannot be in time any more is rejected.
+ * until its result would have no value is rejected; one that is merely late is not, since a late result is better than none.
  *
  * <p>Confined to one thread.
  *
@@ -57,7 +58,7 @@
 
     /** Why a request is rejected. */
     public enum Cause {
-        /** It has waited until its job cannot be in time any more. */
+        /** It has waited until the result of its job would have no value. */
         TOO_LATE("too_late"),
         /** Too many requests wait, and this one has the least time left. */
         QUEUE_FULL("queue_full");
@@ -108,12 +109,12 @@
      */
     public record Change(boolean began, Duration delay, int limit, Duration duration, long rejected) {}
 
-    private record Waiting<R>(R request, long arrivedNanos, long inTimeUntilNanos) {}
+    private record Waiting<R>(R request, long arrivedNanos, long usefulUntilNanos) {}
 
     private final Predicate<R> abandoned;
     private final ProcessingDelay delay;
     private final Deque<Waiting<R>> waiting = new ArrayDeque<>();
-    private final Map<RouteName, Duration> slackByRoute = new HashMap<>();
+    private final Map<RouteName, Duration> longestWaitByRoute = new HashMap<>();
     private Duration target = Duration.ofSeconds(1);
     private boolean targetKnown;
     private boolean overloaded;
@@ -156,10 +157,10 @@
      * @param arrivedNanos monotonic time of its arrival
      */
     public void add(R request, BestEffortJob job, long arrivedNanos) {
-        Duration slack = slack(job);
-        slackByRoute.merge(job.route().name(), slack, AdmissionControl::slowlyDecreasing);
+        Duration longestWait = longestWait(job);
+        longestWaitByRoute.merge(job.route().name(), longestWait, AdmissionControl::slowlyDecreasing);
         learnTarget(job.route().latencyAllowance());
-        waiting.addLast(new Waiting<>(request, arrivedNanos, arrivedNanos + slack.toNanos()));
+        waiting.addLast(new Waiting<>(request, arrivedNanos, arrivedNanos + longestWait.toNanos()));
     }
 
     /**
@@ -251,13 +252,13 @@
     }
 
     /**
-     * Returns how long a request of each route may have waited, so that some of the route's jobs could still be in time. A
-     * request that has waited longer need not be parsed.
+     * Returns how long a request of each route may have waited, so that some of the route's jobs could still be of
+     * value. A request that has waited longer need not be parsed.
      *
      * @return longest wait by route; empty while the entry keeps up
      */
     public Map<RouteName, Duration> longestWaits() {
-        return overloaded ? Map.copyOf(slackByRoute) : Map.of();
+        return overloaded ? Map.copyOf(longestWaitByRoute) : Map.of();
     }
 
     /**
@@ -344,7 +345,7 @@
         long standingNanos = delay.standing(nowNanos).toNanos();
         for (Iterator<Waiting<R>> remaining = waiting.iterator(); remaining.hasNext(); ) {
             Waiting<R> request = remaining.next();
-            if (nowNanos + standingNanos - request.inTimeUntilNanos() > 0) {
+            if (nowNanos + standingNanos - request.usefulUntilNanos() > 0) {
                 remaining.remove();
                 rejected.add(new Rejection<>(request.request(), Cause.TOO_LATE));
             }
@@ -381,13 +382,15 @@
         }
     }
 
-    /** Returns how long a job may wait and be in time, if it starts then on a worker as fast as estimated. */
-    private static Duration slack(BestEffortJob job) {
-        double spareNanos = Math.max(0, job.estimate().toNanos() * (job.route().latencyFactor() - 1));
-        return job.route().latencyAllowance().plusNanos((long) spareNanos);
+    /** Returns how long a job may wait, so that a worker as fast as estimated still completes it before its hard deadline. */
+    private static Duration longestWait(BestEffortJob job) {
+        double objectiveNanos = job.estimate().toNanos() * job.route().latencyFactor()
+                + job.route().latencyAllowance().toNanos();
+        long hardDeadlineNanos = (long) (objectiveNanos * BestEffortTimings.HARD_DEADLINE_FACTOR);
+        return Duration.ofNanos(Math.max(0, hardDeadlineNanos - job.estimate().toNanos()));
     }
 
-    /** Follows the largest slack of the recent jobs of a route. */
+    /** Follows the longest wait among the recent jobs of a route. */
     private static Duration slowlyDecreasing(Duration previous, Duration latest) {
         Duration decreased = previous.minus(previous.dividedBy(100));
         return latest.compareTo(decreased) > 0 ? latest : decreased;
