--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -135,6 +135,10 @@
     RUN_ADOPTED(651, Level.INFO, "task {} run {} was started, only the response was lost"),
     /** A run whose start got no usable response is stopped before its task may start elsewhere. */
     RUN_FENCED(652, Level.WARN, "task {} run {} is stopped, as the worker may start it late: {}"),
+    /** An entry does what arrives later than its jobs allow. */
+    OVERLOAD_BEGAN(631, Level.WARN, "overloaded: acts {} ms late on what arrives, {} active jobs, limit {}"),
+    /** An entry keeps up again. */
+    OVERLOAD_ENDED(632, Level.INFO, "keeps up again after {} ms of overload, {} requests rejected, acts {} ms late"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
