Add the messages by which entries tell their load and hand jobs over

Cause: no entry knows the load of the others, and a job stays where the platform's balancer put it.

Change: EntryLoad, DelegateJob and DelegationEnded are encoded and decoded. They are no messages between entries that an agent may carry. A load echoes that of its receiver, which shows how long a message takes there and back. An older program closes the connection on which a message of an unknown type arrives, but ignores an unknown field: the question for jobs, which opens each path, tells whether its sender exchanges loads. A result of an unknown kind counts as MAY_HAVE_RUN.

--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -230,8 +231,19 @@
      * Asks a peer for all its jobs that have not ended; it replies with {@link JobList}.
      *
      * @param number tells this question from earlier ones, whose replies may still be on their way
+     * @param exchangesLoads true if the sender sends and takes {@link EntryLoad} and {@link DelegateJob}; false from a
+     *     sender of an older version
      */
-    record RequestJobs(long number) implements PeerMessage {}
+    record RequestJobs(long number, boolean exchangesLoads) implements PeerMessage {
+        /**
+         * Creates a question of an entry that does not exchange loads.
+         *
+         * @param number tells this question from earlier ones
+         */
+        public RequestJobs(long number) {
+            this(number, false);
+        }
+    }
 
     /**
      * Tells a peer all jobs of the sender that have not ended.
@@ -268,4 +280,80 @@
      * @param message the message
      */
     record Relay(MemberName entry, PeerMessage message) implements BestEffortMessage {}
+
+    /**
+     * Tells a peer the load of the sender. Sent only on a direct connection, to a peer that exchanges loads.
+     *
+     * @param delay time that requests wait until the sender acts on them
+     * @param activeJobs number of jobs that the sender runs
+     * @param busyShare share of the recent time that the sender's traffic thread was busy, from 0.0 to 1.0
+     * @param sentAtMicros the sender's monotonic time in microseconds, of which only differences below half an hour count
+     * @param echoedMicros {@code sentAtMicros} of the newest load that the sender had received from the receiver; empty
+     *     if it had received none
+     * @param echoHeldFor time from that receipt until this message was sent
+     */
+    record EntryLoad(
+            Duration delay,
+            int activeJobs,
+            double busyShare,
+            int sentAtMicros,
+            OptionalInt echoedMicros,
+            Duration echoHeldFor)
+            implements BestEffortMessage {}
+
+    /**
+     * Hands a job to a peer, which owns it from its receipt on. Nothing of the job has started. Sent only on a direct
+     * connection: the loss of the connection is the loss of the job.
+     *
+     * @param job id of the job
+     * @param route name of the route that matched the request
+     * @param routesVersion version of the routes that the sender applied
+     * @param specification what the worker runs, as the caller specified it
+     * @param taskCount number of tasks
+     * @param resourcesPerTask resources that each task takes while it runs
+     * @param estimate estimated run duration of one task
+     * @param timeLeft time until the caller stops waiting
+     * @param age time since the sender accepted the job
+     * @param zone zone of the sender, which is that of the caller
+     */
+    record DelegateJob(
+            JobId job,
+            RouteName route,
+            long routesVersion,
+            String specification,
+            int taskCount,
+            Resources resourcesPerTask,
+            Duration estimate,
+            Duration timeLeft,
+            Duration age,
+            AvailabilityZone zone)
+            implements BestEffortMessage {}
+
+    /**
+     * Tells the entry that handed a job over how it ended.
+     *
+     * @param job id of the job
+     * @param outcome outcome of the job; {@code NOT_RUN} with a zero Retry-After means that the sender did not take it
+     */
+    record DelegationEnded(JobId job, BestEffortOutcome outcome) implements BestEffortMessage {
+        /**
+         * Creates the reply of an entry that does not take a job.
+         *
+         * @param job id of the job
+         * @param reason why it does not
+         * @return the reply
+         */
+        public static DelegationEnded refused(JobId job, String reason) {
+            return new DelegationEnded(job, BestEffortOutcome.notRun(reason, Duration.ZERO));
+        }
+
+        /**
+         * Returns whether the peer did not take the job.
+         *
+         * @return true if it has run no part of it, and the sender of the job may run it itself
+         */
+        public boolean isRefused() {
+            return outcome.verdict() == Verdict.NOT_RUN && outcome.retryAfter().isZero();
+        }
+    }
 }
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -5,15 +5,20 @@
 import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ClosedZones;
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.DelegateJob;
+import org.gypsumflow.model.BestEffortMessage.DelegationEnded;
+import org.gypsumflow.model.BestEffortMessage.EntryLoad;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.JobList;
@@ -27,6 +32,7 @@
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
+import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.Incarnation;
@@ -41,7 +47,9 @@
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.ValidationException;
+import org.gypsumflow.model.Verdict;
 import org.gypsumflow.wire.generated.AmountPart;
+import org.gypsumflow.wire.generated.DelegationResult;
 import org.gypsumflow.wire.generated.EndedPart;
 import org.gypsumflow.wire.generated.EndingPart;
 import org.gypsumflow.wire.generated.Envelope;
@@ -95,7 +103,8 @@
                     .setJob(encode(abandoned.job()))
                     .setWasUnderWay(abandoned.wasActive()));
         } else if (message instanceof RequestJobs request) {
-            envelope.setShareJobs(encode(List.of()).setQuestion(request.number()));
+            envelope.setShareJobs(
+                    encode(List.of()).setQuestion(request.number()).setExchangesLoads(request.exchangesLoads()));
         } else if (message instanceof JobList list) {
             envelope.setShareJobs(encode(list.jobs()).setAnswer(list.number()));
         } else if (message instanceof ContactsChanged contacts) {
@@ -106,6 +115,12 @@
             envelope.setRelay(org.gypsumflow.wire.generated.Relay.newBuilder()
                     .setEntry(relay.entry().value())
                     .setContent(encode(relay.message())));
+        } else if (message instanceof EntryLoad load) {
+            envelope.setEntryLoad(encode(load));
+        } else if (message instanceof DelegateJob delegate) {
+            envelope.setDelegateJob(encode(delegate));
+        } else if (message instanceof DelegationEnded ended) {
+            envelope.setDelegationEnded(encode(ended));
         }
         return envelope.build();
     }
@@ -138,6 +153,9 @@
                         decodeNames(envelope.getContactsChanged().getGainedList()),
                         decodeNames(envelope.getContactsChanged().getLostList()));
             case RELAY -> decode(envelope.getRelay());
+            case ENTRY_LOAD -> decode(envelope.getEntryLoad());
+            case DELEGATE_JOB -> decode(envelope.getDelegateJob());
+            case DELEGATION_ENDED -> decode(envelope.getDelegationEnded());
             default ->
                 throw new IllegalArgumentException("the envelope does not contain a message about best-effort jobs");
         };
@@ -163,7 +181,7 @@
         List<JobId> jobs =
                 share.getTakenList().stream().map(BestEffortCodec::decodeJob).toList();
         if (share.hasQuestion()) {
-            return new RequestJobs(share.getQuestion());
+            return new RequestJobs(share.getQuestion(), share.getExchangesLoads());
         }
         return share.hasAnswer() ? new JobList(share.getAnswer(), jobs) : new ShareJobs(jobs);
     }
@@ -387,4 +405,96 @@
                                 .map(AvailabilityZone::of)
                                 .collect(Collectors.toSet())));
     }
+
+    private static org.gypsumflow.wire.generated.EntryLoad.Builder encode(EntryLoad load) {
+        org.gypsumflow.wire.generated.EntryLoad.Builder part = org.gypsumflow.wire.generated.EntryLoad.newBuilder()
+                .setDelayMicros(micros(load.delay()))
+                .setActiveJobs(load.activeJobs())
+                .setBusyShare((float) load.busyShare())
+                .setSentAtMicros(load.sentAtMicros())
+                .setEchoHeldMicros(micros(load.echoHeldFor()));
+        load.echoedMicros().ifPresent(part::setEchoedMicros);
+        return part;
+    }
+
+    private static EntryLoad decode(org.gypsumflow.wire.generated.EntryLoad part) {
+        Check.isTrue(part.getDelayMicros() >= 0, "delay", "is negative");
+        Check.isTrue(part.getBusyShare() >= 0 && part.getBusyShare() <= 1, "busy share", "is not from 0 to 1");
+        Check.isTrue(part.getEchoHeldMicros() >= 0, "echo held", "is negative");
+        return new EntryLoad(
+                Duration.ofNanos(part.getDelayMicros() * NANOS_PER_MICRO),
+                part.getActiveJobs(),
+                part.getBusyShare(),
+                part.getSentAtMicros(),
+                part.hasEchoedMicros() ? OptionalInt.of(part.getEchoedMicros()) : OptionalInt.empty(),
+                Duration.ofNanos(part.getEchoHeldMicros() * NANOS_PER_MICRO));
+    }
+
+    private static int micros(Duration duration) {
+        return (int) Math.min(Integer.MAX_VALUE, duration.toNanos() / NANOS_PER_MICRO);
+    }
+
+    private static org.gypsumflow.wire.generated.DelegateJob.Builder encode(DelegateJob delegate) {
+        return org.gypsumflow.wire.generated.DelegateJob.newBuilder()
+                .setJob(encode(delegate.job()))
+                .setRoute(delegate.route().value())
+                .setRoutesVersion(delegate.routesVersion())
+                .setSpecification(delegate.specification())
+                .setTaskCount(delegate.taskCount())
+                .setNeeds(encode(delegate.resourcesPerTask()))
+                .setEstimateMillis((int) delegate.estimate().toMillis())
+                .setTimeLeftMillis((int) delegate.timeLeft().toMillis())
+                .setAgeMillis((int) delegate.age().toMillis())
+                .setZone(delegate.zone().value());
+    }
+
+    private static DelegateJob decode(org.gypsumflow.wire.generated.DelegateJob part) {
+        Check.range("count", part.getTaskCount(), 1, BestEffortJob.MAX_TASKS);
+        Check.isTrue(part.getEstimateMillis() >= 0, "estimate", "is negative");
+        Check.isTrue(part.getAgeMillis() >= 0, "age", "is negative");
+        return new DelegateJob(
+                decodeJob(part.getJob()),
+                RouteName.of(part.getRoute()),
+                part.getRoutesVersion(),
+                part.getSpecification(),
+                part.getTaskCount(),
+                decode(part.getNeeds()),
+                Duration.ofMillis(part.getEstimateMillis()),
+                Duration.ofMillis(part.getTimeLeftMillis()),
+                Duration.ofMillis(part.getAgeMillis()),
+                AvailabilityZone.of(part.getZone()));
+    }
+
+    private static org.gypsumflow.wire.generated.DelegationEnded.Builder encode(DelegationEnded ended) {
+        BestEffortOutcome outcome = ended.outcome();
+        return org.gypsumflow.wire.generated.DelegationEnded.newBuilder()
+                .setJob(encode(ended.job()))
+                .setResult(outcome.cancelled() ? DelegationResult.CANCELLED : encode(outcome.verdict()))
+                .setReason(outcome.reason())
+                .setRetryAfterMillis((int) outcome.retryAfter().toMillis());
+    }
+
+    private static DelegationResult encode(Verdict verdict) {
+        return switch (verdict) {
+            case COMPLETED -> DelegationResult.COMPLETED;
+            case FAILED -> DelegationResult.JOB_FAILED;
+            case NOT_RUN -> DelegationResult.NOT_RUN;
+            case MAY_HAVE_RUN -> DelegationResult.MAY_HAVE_RUN;
+        };
+    }
+
+    /** A result of a newer version proves nothing. */
+    private static DelegationEnded decode(org.gypsumflow.wire.generated.DelegationEnded part) {
+        String reason = part.getReason();
+        Check.isTrue(part.getRetryAfterMillis() >= 0, "retry after", "is negative");
+        BestEffortOutcome outcome =
+                switch (part.getResult()) {
+                    case COMPLETED -> BestEffortOutcome.completed();
+                    case JOB_FAILED -> BestEffortOutcome.failed(reason);
+                    case NOT_RUN -> BestEffortOutcome.notRun(reason, Duration.ofMillis(part.getRetryAfterMillis()));
+                    case CANCELLED -> BestEffortOutcome.ofCancelled();
+                    case MAY_HAVE_RUN, UNRECOGNIZED -> BestEffortOutcome.mayHaveRun(reason);
+                };
+        return new DelegationEnded(decodeJob(part.getJob()), outcome);
+    }
 }
--- a/src/main/java/org/gypsumflow/wire/MessageCodec.java
+++ b/src/main/java/org/gypsumflow/wire/MessageCodec.java
@@ -56,7 +56,10 @@
                     GIVE_UP_JOB,
                     JOB_GIVEN_UP,
                     CONTACTS_CHANGED,
-                    RELAY -> BestEffortCodec.decode(envelope);
+                    RELAY,
+                    ENTRY_LOAD,
+                    DELEGATE_JOB,
+                    DELEGATION_ENDED -> BestEffortCodec.decode(envelope);
             case MESSAGE_NOT_SET ->
                 throw new IllegalArgumentException("the envelope contains no message of a known type");
             default -> CommandCodec.decode(envelope);
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.gypsumflow.model.AvailabilityZone;
@@ -18,6 +19,9 @@
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ClosedZones;
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.DelegateJob;
+import org.gypsumflow.model.BestEffortMessage.DelegationEnded;
+import org.gypsumflow.model.BestEffortMessage.EntryLoad;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.JobList;
@@ -30,6 +34,7 @@
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
+import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Incarnation;
 import org.gypsumflow.model.JobId;
@@ -52,6 +57,22 @@
     private static final Member MEMBER = new Member(
             MemberName.of("edge-sofia-1"), Member.Role.ENTRY, AvailabilityZone.of("sofia"), "10.1.0.13", 7720);
 
+    private static final DelegateJob DELEGATION = new DelegateJob(
+            JOB,
+            RouteName.of("r"),
+            3,
+            "specification",
+            4,
+            Resources.of(3100, 64, 1),
+            Duration.ofMillis(86),
+            Duration.ofMillis(1500),
+            Duration.ofMillis(2),
+            AvailabilityZone.of("sofia"));
+
+    private static EntryLoad load(OptionalInt echo) {
+        return new EntryLoad(Duration.ofMillis(7), 20, 0.5, Integer.MIN_VALUE, echo, Duration.ofMillis(90));
+    }
+
     private static TaskAssignment assignment(int index, String specification) {
         return new TaskAssignment(
                 BestEffortTaskId.of(JOB, index),
@@ -97,6 +118,16 @@
             {new ContactsChanged(List.of(), List.of())},
             {new Relay(MEMBER.name(), new ShareJobs(List.of(JOB)))},
             {new RequestJobs(-7)},
+            {new RequestJobs(7, true)},
+            {load(OptionalInt.empty())},
+            {load(OptionalInt.of(-3))},
+            {DELEGATION},
+            {new DelegationEnded(JOB, BestEffortOutcome.completed())},
+            {new DelegationEnded(JOB, BestEffortOutcome.failed("r"))},
+            {new DelegationEnded(JOB, BestEffortOutcome.mayHaveRun("r"))},
+            {new DelegationEnded(JOB, BestEffortOutcome.notRun("r", Duration.ofSeconds(1)))},
+            {new DelegationEnded(JOB, BestEffortOutcome.ofCancelled())},
+            {DelegationEnded.refused(JOB, "r")},
             {new JobList(9, List.of(JOB))},
             {new Relay(MEMBER.name(), new RequestJobs(7))},
             {new Relay(MEMBER.name(), new JobList(7, List.of()))},
@@ -139,6 +170,7 @@
         return new Object[][] {
             {new StopTasks(JOB, List.of(1))},
             {MemberHeartbeat.withoutEcho(7)},
+            {DELEGATION},
             {new Relay(MEMBER.name(), new AbandonJob(JOB, false))},
         };
     }
@@ -153,6 +185,18 @@
         assertThrows(IllegalArgumentException.class, () -> MessageCodec.decode(envelope));
     }
 
+    // Guards against a job that runs again at its origin: a result of a newer version is no proof that it has not run.
+    @Test
+    public void aDelegationThatEndedInAnUnknownWayMayHaveRun() {
+        Envelope envelope = Envelope.newBuilder()
+                .setDelegationEnded(org.gypsumflow.wire.generated.DelegationEnded.newBuilder()
+                        .setJob(1)
+                        .setResultValue(77))
+                .build();
+        DelegationEnded ended = (DelegationEnded) MessageCodec.decode(envelope);
+        assertEquals(ended.outcome(), BestEffortOutcome.mayHaveRun(""));
+    }
+
     @Test
     public void theSpecificationOfAJobWithSeveralTasksIsSentOnce() {
         String specification = "x".repeat(1000);
--- a/src/test/java/org/gypsumflow/wire/MutatedMessageTest.java
+++ b/src/test/java/org/gypsumflow/wire/MutatedMessageTest.java
@@ -6,12 +6,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.DelegateJob;
+import org.gypsumflow.model.BestEffortMessage.DelegationEnded;
+import org.gypsumflow.model.BestEffortMessage.EntryLoad;
 import org.gypsumflow.model.BestEffortMessage.Introduce;
 import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
@@ -67,6 +71,21 @@
                         List.of(new RunResult(task, RunNumber.of(1), RunOutcome.DONE, Duration.ofMillis(88))), status)
             },
             {new JobList(5, List.of(JOB))},
+            {new EntryLoad(Duration.ofMillis(7), 20, 0.5, 1, OptionalInt.of(2), Duration.ofMillis(90))},
+            {
+                new DelegateJob(
+                        JOB,
+                        RouteName.of("route"),
+                        3,
+                        "x",
+                        4,
+                        RESOURCES,
+                        Duration.ofMillis(86),
+                        Duration.ofMillis(1500),
+                        Duration.ofMillis(2),
+                        AvailabilityZone.of("sofia"))
+            },
+            {DelegationEnded.refused(JOB, "reason")},
             {new ContactsChanged(List.of(MemberName.of("a")), List.of(MemberName.of("b")))},
         };
     }
