Hand jobs of a busy entry over to a peer that has time to spare

Cause: an entry with more work than its processor carries answered all its jobs late.

Change: with dispatch.job-balancing, an entry tells its peers its load while jobs run, and hands over the jobs that the balancer chooses, on direct connections only. The peer owns such a job. Whenever the origin gives a job up without the peer's outcome, it takes it back by a handover, so that no run is left before the job starts elsewhere; the caller is told at once that it may have run. An entry that was paused, drains, or was asked before to abandon the job does not take it, and the origin then accepts it itself. A rejection by the peer's dispatcher is passed on, since the origin sees the same workers.

--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -108,6 +108,24 @@
      * @param waiter receives the outcome, exactly once unless it is removed
      */
     public void submit(BestEffortJob job, long nowNanos, Duration timeLeft, Consumer<BestEffortOutcome> waiter) {
+        submit(job, nowNanos, nowNanos, timeLeft, waiter);
+    }
+
+    /**
+     * Does the same for a job that another entry accepted before: its latency objective counts from then.
+     *
+     * @param job the job
+     * @param acceptedNanos monotonic time at which the job was accepted
+     * @param nowNanos current monotonic time
+     * @param timeLeft time from now until the caller stops waiting, transit of the response included
+     * @param waiter receives the outcome, exactly once unless it is removed
+     */
+    public void submit(
+            BestEffortJob job,
+            long acceptedNanos,
+            long nowNanos,
+            Duration timeLeft,
+            Consumer<BestEffortOutcome> waiter) {
         latestNanos = nowNanos;
         ActiveJob existing = jobs.get(job.id());
         if (existing != null) {
@@ -121,7 +139,7 @@
         }
         boolean formerRunsEnding = endingJobs.isEnding(job.id());
         ActiveJob activeJob =
-                new ActiveJob(job, nowNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
+                new ActiveJob(job, acceptedNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
         if (formerRunsEnding) {
@@ -184,6 +202,16 @@
         return jobs.containsKey(id);
     }
 
+    /**
+     * Returns whether a run of a job may be left because of this entry.
+     *
+     * @param id id of the job
+     * @return true if it is active, or has an outcome while a run may not have ended
+     */
+    public boolean isUnended(JobId id) {
+        return jobs.containsKey(id) || endingJobs.isEnding(id);
+    }
+
     /**
      * Returns the number of active jobs.
      *
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.control.CompactedLogConsumer;
 import org.gypsumflow.control.ConnectionManager;
@@ -36,6 +38,11 @@
                 metrics()::recordOutcome,
                 settings.features(),
                 metrics()::countDecision);
+        if (settings.features().jobBalancing()) {
+            RandomGenerator random = new SplittableRandom();
+            entry.balanceJobs(settings.self().zone(), (balancer, nowNanos) -> balancer.choosePeer(nowNanos, random));
+            metrics().addGauge("entry.busy_share", entry::busyShare);
+        }
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,13 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** An entry began to hand jobs over to its peers. */
+    DELEGATION_STARTED(
+            640, Level.INFO, "hands jobs over to other entries, the first to {}: busy share {} percent, delay {} ms"),
+    /** An entry runs all its jobs itself again. */
+    DELEGATION_STOPPED(641, Level.INFO, "runs all its jobs itself again, after {} were handed over"),
+    /** The path to an entry closed while it ran jobs of this one. */
+    DELEGATION_LOST(642, Level.WARN, "connection to entry {} closed while it ran {} jobs of this entry"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/model/RoutingTable.java
+++ b/src/main/java/org/gypsumflow/model/RoutingTable.java
@@ -38,4 +38,17 @@
                 .filter(route -> path.startsWith(route.pathPrefix()))
                 .max(Comparator.comparingInt(route -> route.pathPrefix().length()));
     }
+
+    /**
+     * Finds a route of one version of the routes.
+     *
+     * @param name name of the route
+     * @param routesVersion version of the routes
+     * @return the route, or empty if this table has another version or no such route
+     */
+    public Optional<Route> find(RouteName name, long routesVersion) {
+        return routes.stream()
+                .filter(route -> version == routesVersion && route.name().equals(name))
+                .findFirst();
+    }
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -16,17 +16,25 @@
 import org.gypsumflow.command.JobOwnerCache;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.balancing.BusyTime;
+import org.gypsumflow.command.balancing.DelegationTarget;
+import org.gypsumflow.command.balancing.JobBalancer;
+import org.gypsumflow.command.balancing.PeerChooser;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.control.TimeSource;
+import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage;
 import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.AssignTasks;
 import org.gypsumflow.model.BestEffortMessage.ContactsChanged;
+import org.gypsumflow.model.BestEffortMessage.DelegateJob;
+import org.gypsumflow.model.BestEffortMessage.DelegationEnded;
+import org.gypsumflow.model.BestEffortMessage.EntryLoad;
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.PeerMessage;
@@ -42,6 +50,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.Route;
 import org.gypsumflow.traffic.JobHandovers.Submission;
 import org.gypsumflow.traffic.PauseDetector.Pause;
 import org.gypsumflow.traffic.PeerPaths.PeerPath;
@@ -55,6 +64,8 @@
     /** Retry-After for callers of a draining host: another host accepts them immediately. */
     private static final Duration RETRY_AFTER_DRAINING = Duration.ofSeconds(1);
 
+    private static final int PERCENT = 100;
+
     private final SerialExecutor executor;
     private final TimeSource time;
     private final EventLog events;
@@ -71,13 +82,19 @@
     private final JobObserver observer;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
+    private final BusyTime busyTime;
+    private final JobDelegations delegations;
+    private Optional<Balancing> balancing = Optional.empty();
     private Optional<Pause> possibleSuspension = Optional.empty();
     private CompletableFuture<Void> drained;
     private volatile int connectedAgentCount;
     private boolean stopped;
 
+    /** What an entry that hands jobs over to its peers needs for that. */
+    private record Balancing(AvailabilityZone ownZone, JobBalancer balancer, PeerChooser chooser, EntryLoads loads) {}
+
     private BestEffortEntry(
-            SerialExecutor executor,
+            SerialExecutor trafficExecutor,
             TimeSource time,
             JobPlacementPolicy placementPolicy,
             RoutingStateCache routingState,
@@ -85,7 +102,9 @@
             JobObserver observer,
             DispatchFeatures features,
             DecisionCounter counter) {
-        this.executor = executor;
+        this.busyTime = BusyTime.create(time.nanoTime());
+        this.executor =
+                features.jobBalancing() ? MeasuredExecutor.of(trafficExecutor, time, busyTime) : trafficExecutor;
         this.time = time;
         this.events = events;
         this.routingState = routingState;
@@ -103,6 +122,8 @@
                 new AgentClient(this::assignTasks, this::stopTasks),
                 events,
                 observer);
+        this.delegations = new JobDelegations(
+                executor, time, peers, jobOwners, this::takeBack, this::completeWaiting, this::accept, events, counter);
         this.announcements = new JobAnnouncements(time, peers, dispatcher, handovers, jobOwners);
     }
 
@@ -160,6 +181,19 @@
         return new BestEffortEntry(executor, time, placementPolicy, routingState, events, observer, features, counter);
     }
 
+    /**
+     * Lets this entry hand jobs over to its peers, and take jobs of theirs; called before {@link #start}, and only if the
+     * features of this entry have it.
+     *
+     * @param ownZone zone of this entry
+     * @param chooser chooses the peer that runs a job
+     */
+    public void balanceJobs(AvailabilityZone ownZone, PeerChooser chooser) {
+        JobBalancer balancer = JobBalancer.create();
+        balancing = Optional.of(
+                new Balancing(ownZone, balancer, chooser, new EntryLoads(time, peers, balancer, busyTime, ownZone)));
+    }
+
     /** Starts the periodic work: timeouts, detection of pauses, and messages to peers about accepted jobs. */
     public void start() {
         events.write(Event.FEATURES, features);
@@ -170,6 +204,8 @@
             handovers.tick();
             dispatcher.tick(time.nanoTime());
             announcements.tick();
+            delegations.tick();
+            balancing.ifPresent(part -> part.loads().tick(dispatcher.activeJobCount(), acceptsDelegations()));
             completeDrainIfIdle();
             return !stopped;
         });
@@ -262,21 +298,27 @@
     public CompletableFuture<BestEffortOutcome> submit(
             BestEffortJob job, Duration remainingTime, CompletableFuture<Void> disconnected) {
         CompletableFuture<BestEffortOutcome> outcome = new CompletableFuture<>();
+        long arrivedNanos = time.nanoTime();
         executor.execute(() -> {
             detectPause();
+            balancing.ifPresent(part -> part.loads().requestDelayed(Duration.ofNanos(time.nanoTime() - arrivedNanos)));
             if (drained != null) {
                 counter.increment("jobs_rejected", "draining");
                 outcome.complete(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
                 return;
             }
             long nowNanos = time.nanoTime();
-            accept(new Submission(job, nowNanos, nowNanos + remainingTime.toNanos(), outcome::complete, disconnected));
+            Submission submission =
+                    new Submission(job, nowNanos, nowNanos + remainingTime.toNanos(), outcome::complete, disconnected);
+            if (!delegateIfBusy(submission)) {
+                accept(submission);
+            }
         });
         return outcome;
     }
 
     private void accept(Submission submission) {
-        if (handovers.join(submission)) {
+        if (handovers.join(submission) || delegations.join(submission)) {
             return;
         }
         JobId job = submission.job().id();
@@ -293,6 +335,78 @@
         handovers.begin(submission, owner.get());
     }
 
+    /** Hands a new job over to a peer that has less to do; returns false if it must be accepted here. */
+    private boolean delegateIfBusy(Submission submission) {
+        if (balancing.isEmpty()) {
+            return false;
+        }
+        JobId job = submission.job().id();
+        long nowNanos = time.nanoTime();
+        boolean isNew = !barrier.isUp()
+                && !handovers.isKnown(job)
+                && !delegations.isAwaited(job)
+                && !dispatcher.isUnended(job)
+                && jobOwners.ownerOf(job, nowNanos).isEmpty()
+                && !submission.disconnected().isDone();
+        if (!isNew) {
+            return false;
+        }
+        Balancing part = balancing.get();
+        Optional<DelegationTarget> target = part.chooser().choose(part.balancer(), nowNanos);
+        boolean underWay = delegations.isUnderWay();
+        if (target.isEmpty() || !delegations.delegate(submission, target.get(), part.ownZone())) {
+            return false;
+        }
+        if (!underWay) {
+            events.write(
+                    Event.DELEGATION_STARTED,
+                    target.get().peer(),
+                    Math.round(part.loads().busyShare() * PERCENT),
+                    part.loads().delay().toMillis());
+        }
+        return true;
+    }
+
+    /** Runs a job of a peer, unless this entry cannot know that no run of it is left elsewhere. */
+    private void acceptDelegation(MemberName origin, DelegateJob request) {
+        JobId job = request.job();
+        Optional<MemberName> owner = jobOwners.ownerOf(job, time.nanoTime());
+        Optional<Route> route = routingState.current().table().find(request.route(), request.routesVersion());
+        if (!acceptsDelegations()) {
+            delegations.reply(origin, DelegationEnded.refused(job, "this host takes no jobs of others now"));
+        } else if (route.isEmpty()) {
+            delegations.reply(origin, DelegationEnded.refused(job, "the route is not known here"));
+        } else if (owner.equals(Optional.of(origin))) {
+            // A request that was overtaken by the one to abandon the job is not told from a new one.
+            delegations.reply(origin, DelegationEnded.refused(job, "this host has abandoned the job"));
+        } else if (owner.isPresent() || handovers.isKnown(job) || delegations.isAwaited(job)) {
+            delegations.reply(
+                    origin,
+                    new DelegationEnded(job, BestEffortOutcome.mayHaveRun("another host may run the job already")));
+        } else {
+            BestEffortJob accepted = new BestEffortJob(
+                    job,
+                    route.get(),
+                    request.routesVersion(),
+                    request.specification(),
+                    request.taskCount(),
+                    request.resourcesPerTask(),
+                    request.estimate());
+            Submission submission = delegations.submissionOf(origin, request, accepted);
+            startJob(submission, submission.submittedNanos());
+        }
+    }
+
+    private boolean acceptsDelegations() {
+        return balancing.isPresent() && drained == null && !barrier.isUp() && !stopped;
+    }
+
+    /** Takes a job back that no caller here waits for any more; others ask this entry for it from now on. */
+    private void takeBack(JobId job, MemberName owner) {
+        peers.sendToOthers(owner, new ShareJobs(List.of(job)));
+        handovers.takeBack(job, owner);
+    }
+
     private boolean requestAbandonment(MemberName owner, JobId job) {
         Optional<PeerPath> path = peers.pathTo(owner);
         path.ifPresent(open -> open.send(new AbandonJob(job, false)));
@@ -314,6 +428,10 @@
     }
 
     private void startJob(Submission submission) {
+        startJob(submission, time.nanoTime());
+    }
+
+    private void startJob(Submission submission, long acceptedNanos) {
         if (submission.disconnected().isDone()) {
             return;
         }
@@ -322,6 +440,7 @@
         long nowNanos = time.nanoTime();
         dispatcher.submit(
                 submission.job(),
+                acceptedNanos,
                 nowNanos,
                 Duration.ofNanos(submission.deadlineNanos() - nowNanos),
                 submission.callback());
@@ -336,12 +455,17 @@
         if (!jobs.isEmpty()) {
             path.send(new ShareJobs(jobs));
         }
-        path.send(new RequestJobs(barrier.questionNumber()));
+        path.send(requestForJobs());
         handovers.peerPathOpened(peer);
     }
 
+    private RequestJobs requestForJobs() {
+        return new RequestJobs(barrier.questionNumber(), balancing.isPresent());
+    }
+
     private void peerPathClosed(MemberName peer, long lastMessageNanos) {
         handovers.peerPathClosed(peer, lastMessageNanos);
+        delegations.peerPathClosed(peer);
         // By then messages to the peer may have taken another path.
         executor.schedule(BestEffortTimings.REPORT_INTERVAL, () -> announcements.announceJobsTakenOverBy(peer));
     }
@@ -371,7 +495,8 @@
      */
     public CompletableFuture<Boolean> isActive(JobId job) {
         CompletableFuture<Boolean> active = new CompletableFuture<>();
-        executor.execute(() -> active.complete(dispatcher.isActive(job) || handovers.isAwaited(job)));
+        executor.execute(() ->
+                active.complete(dispatcher.isActive(job) || handovers.isAwaited(job) || delegations.isAwaited(job)));
         return active;
     }
 
@@ -384,6 +509,15 @@
         return connectedAgentCount > 0;
     }
 
+    /**
+     * Returns how busy this entry is.
+     *
+     * @return share of the recent time that the traffic thread was busy, from 0.0 to 1.0; 0 if jobs are not balanced
+     */
+    public double busyShare() {
+        return balancing.map(part -> part.loads().busyShare()).orElse(0.0);
+    }
+
     /** Applies the latest closed zones, whose workers get no new tasks. */
     public void closedZonesChanged() {
         executor.execute(() -> capacityTracker.setClosedZones(
@@ -398,6 +532,7 @@
                 connectedAgentCount = agents.size();
                 peers.agentConnected(member.name(), connection);
             } else {
+                balancing.ifPresent(part -> part.loads().peerConnected(member));
                 peers.peerConnected(member.name(), connection);
             }
         });
@@ -411,6 +546,7 @@
         executor.execute(() -> {
             detectPause();
             if (member.role() == Member.Role.ENTRY) {
+                balancing.ifPresent(part -> part.loads().peerDisconnected(member.name()));
                 peers.peerDisconnected(member.name(), lastMessageNanos);
                 return;
             }
@@ -438,12 +574,26 @@
                 peers.contactsChanged(from, change);
             } else if (message instanceof Relay relay) {
                 peerMessageReceived(relay.entry(), relay.message(), peers.pathThrough(from, relay.entry()));
+            } else if (message instanceof EntryLoad load) {
+                balancing.ifPresent(part -> part.loads().received(from, load));
+            } else if (message instanceof DelegateJob request) {
+                acceptDelegation(from, request);
+            } else if (message instanceof DelegationEnded ended) {
+                delegationEnded(from, ended);
             } else if (message instanceof PeerMessage peerMessage) {
                 peerMessageReceived(from, peerMessage, peers.pathTo(from));
             }
         });
     }
 
+    private void delegationEnded(MemberName from, DelegationEnded ended) {
+        if (ended.isRefused()) {
+            balancing.ifPresent(part -> part.balancer().forget(from));
+        }
+        delegations.ended(from, ended);
+        completeDrainIfIdle();
+    }
+
     private void peerMessageReceived(MemberName from, PeerMessage message, Optional<PeerPath> replyPath) {
         if (message instanceof AbandonJob request) {
             abandon(from, request, replyPath);
@@ -452,6 +602,7 @@
         } else if (message instanceof ShareJobs share) {
             recordOwner(from, share.acceptedJobs());
         } else if (message instanceof RequestJobs request) {
+            balancing.ifPresent(part -> part.loads().capabilityTold(from, request.exchangesLoads()));
             replyPath.ifPresent(path -> path.send(new JobList(request.number(), announcements.unendedJobs())));
         } else if (message instanceof JobList list) {
             recordOwner(from, list.jobs());
@@ -493,6 +644,7 @@
         }
         boolean wasActive = dispatcher.abandon(job);
         handovers.giveUp(job, BestEffortOutcome.mayHaveRun("the caller sent this job to another host"));
+        delegations.handOver(job, from).ifPresent(owner -> handovers.takeBack(job, owner));
         jobOwners.recordOwner(from, job, time.nanoTime());
         JobAbandoned reply = new JobAbandoned(job, wasActive);
         replyPath.ifPresent(
@@ -501,16 +653,18 @@
 
     private boolean cancelHere(JobId job) {
         boolean waited = handovers.giveUp(job, BestEffortOutcome.ofCancelled());
-        return dispatcher.cancel(job) || waited;
+        boolean delegated = delegations.giveUp(job, BestEffortOutcome.ofCancelled());
+        return dispatcher.cancel(job) || waited || delegated;
     }
 
     private void abandonAllJobs(String reason) {
         dispatcher.abandonAll(reason);
         handovers.giveUpAll(BestEffortOutcome.mayHaveRun(reason));
+        delegations.giveUpAll(BestEffortOutcome.mayHaveRun(reason));
     }
 
     private int activeJobCount() {
-        return dispatcher.activeJobCount() + handovers.submissionCount();
+        return dispatcher.activeJobCount() + handovers.submissionCount() + delegations.submissionCount();
     }
 
     private void detectPause() {
@@ -519,7 +673,7 @@
             return;
         }
         barrier.raise(peers.reachablePeers(), time.nanoTime());
-        peers.sendToAll(new RequestJobs(barrier.questionNumber()));
+        peers.sendToAll(requestForJobs());
         if (activeJobCount() == 0) {
             return;
         }
--- a/src/main/java/org/gypsumflow/traffic/JobHandovers.java
+++ b/src/main/java/org/gypsumflow/traffic/JobHandovers.java
@@ -146,6 +146,11 @@
         return handovers.containsKey(job) && handovers.get(job).owner.isPresent();
     }
 
+    /** Returns whether a job is held back, or its handover has not completed. */
+    boolean isKnown(JobId job) {
+        return handovers.containsKey(job);
+    }
+
     /** Returns whether a submission waits for a job. */
     boolean isAwaited(JobId job) {
         return handovers.containsKey(job) && !handovers.get(job).submissions.isEmpty();
@@ -166,7 +171,20 @@
 
     /** Starts the handover of a job from its owner, which may have been lost before. */
     void begin(Submission submission, MemberName owner) {
-        JobId job = submission.job().id();
+        begin(submission.job().id(), owner, List.of(submission));
+    }
+
+    /**
+     * Starts the handover of a job from its owner although no caller waits for it, so that whoever asks this entry for the
+     * job learns when none of its runs is left; ignored if a handover of the job is pending.
+     */
+    void takeBack(JobId job, MemberName owner) {
+        if (!handovers.containsKey(job)) {
+            begin(job, owner, List.of());
+        }
+    }
+
+    private void begin(JobId job, MemberName owner, List<Submission> submissions) {
         long nowNanos = time.nanoTime();
         boolean asked = ownerClient.requestAbandonment(owner, job);
         // An owner whose connection is not known here yet or any more may be running the job.
@@ -174,7 +192,7 @@
         Handover handover = new Handover(
                 job, Optional.of(owner), nowNanos, takeOverNanosByLostPeer.getOrDefault(owner, defaultNanos));
         handovers.put(job, handover);
-        handover.submissions.add(submission);
+        handover.submissions.addAll(submissions);
         handover.awaitsReply = asked;
         giveUpWhereTimeCannotSuffice(handover);
         completeIfProven(handover);
--- a/src/main/java/org/gypsumflow/traffic/PeerPaths.java
+++ b/src/main/java/org/gypsumflow/traffic/PeerPaths.java
@@ -64,6 +64,7 @@
     private final ClosingListener closingListener;
     private final EventLog events;
     private final Map<MemberName, OpenPath> paths = new HashMap<>();
+    private final Map<MemberName, Connection> connections = new HashMap<>();
     private final Map<MemberName, AgentContacts> agents = new TreeMap<>();
 
     PeerPaths(TimeSource time, OpeningListener openingListener, ClosingListener closingListener, EventLog events) {
@@ -75,6 +76,7 @@
 
     /** Uses a direct connection to a peer from now on. */
     void peerConnected(MemberName peer, Connection connection) {
+        connections.put(peer, connection);
         open(peer, new OpenPath(connection::send, Optional.empty()));
     }
 
@@ -82,6 +84,7 @@
     void peerDisconnected(MemberName peer, long lastMessageNanos) {
         OpenPath path = paths.get(peer);
         if (path != null && path.agent().isEmpty()) {
+            connections.remove(peer);
             replaceOrClose(peer, lastMessageNanos);
         }
     }
@@ -120,6 +123,11 @@
         return Optional.ofNullable(paths.get(peer)).map(OpenPath::path);
     }
 
+    /** Returns the direct connection to a peer, or empty if its messages go through an agent or nowhere. */
+    Optional<Connection> connectionTo(MemberName peer) {
+        return Optional.ofNullable(connections.get(peer));
+    }
+
     /** Returns the path on which the answer to a message that an agent relayed must go: a loss of it is noticed. */
     Optional<PeerPath> pathThrough(MemberName agent, MemberName peer) {
         return agents.containsKey(agent) ? Optional.of(through(agent, peer).path()) : Optional.empty();
