Measure the load by mean delays, and rehearse the classes of balancing

Cause: the smallest delay of an interval is zero when an overloaded process comes too late to its own measurements, so that it looked idle and got jobs.

Change: LoadMeter takes the mean delay of requests and timers. The rehearsal that writes the class archive uses the new classes and messages, which an entry would otherwise load from the jar in its first seconds.

--- a/src/main/java/org/gypsumflow/bench/Rehearsal.java
+++ b/src/main/java/org/gypsumflow/bench/Rehearsal.java
@@ -5,14 +5,28 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.gypsumflow.command.balancing.JobBalancer;
+import org.gypsumflow.command.balancing.PeerLoad;
 import org.gypsumflow.daemon.Daemon;
 import org.gypsumflow.daemon.Main;
 import org.gypsumflow.daemon.SettingsReader;
+import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortMessage.DelegateJob;
+import org.gypsumflow.model.BestEffortMessage.DelegationEnded;
+import org.gypsumflow.model.BestEffortMessage.EntryLoad;
+import org.gypsumflow.model.JobId;
+import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.standin.LoopbackCluster;
 import org.gypsumflow.standin.LoopbackCluster.RunningDaemon;
+import org.gypsumflow.wire.MessageCodec;
 
 /**
  * Training run for class data sharing: runs both daemons through a few jobs against stand-ins and exits.
@@ -50,13 +64,39 @@
             succeeded +=
                     cluster.submitJob(String.format("%016x", job), 4).join().status() == OK ? 1 : 0;
         }
+        rehearseBalancing();
         System.out.println(succeeded + " of " + JOBS + " jobs got HTTP status 200");
         System.exit(succeeded == JOBS ? 0 : 1);
     }
 
+    /** Uses the messages that a cluster with one entry does not send. */
+    private static void rehearseBalancing() {
+        JobId job = JobId.of("00000000000000b1");
+        Stream.of(
+                        new EntryLoad(Duration.ZERO, 1, 0.5, 1, OptionalInt.of(1), Duration.ZERO),
+                        new DelegateJob(
+                                job,
+                                RouteName.of("route"),
+                                1,
+                                "specification",
+                                1,
+                                Resources.of(1, 1, 0),
+                                RUN_DURATION,
+                                RUN_DURATION,
+                                Duration.ZERO,
+                                AvailabilityZone.of("zone")),
+                        DelegationEnded.refused(job, "reason"))
+                .forEach(message -> MessageCodec.decode(MessageCodec.encode(message)));
+        JobBalancer balancer = JobBalancer.create();
+        MemberName peer = MemberName.of("peer");
+        balancer.ownLoadMeasured(Duration.ofSeconds(1), 1);
+        balancer.loadReceived(peer, new PeerLoad(Duration.ZERO, 0, Duration.ZERO, true), 0);
+        balancer.choosePeer(0, new SplittableRandom());
+    }
+
     private static RunningDaemon start(String settings) {
         checkSettingsFile(settings);
-        Daemon daemon = Daemon.start(SettingsReader.parse(settings));
+        Daemon daemon = Daemon.start(SettingsReader.parse(settings + "\njob-balancing = true"));
         return new RunningDaemon(daemon.httpPort(), daemon::abort);
     }
 
--- a/src/main/java/org/gypsumflow/command/balancing/JobBalancer.java
+++ b/src/main/java/org/gypsumflow/command/balancing/JobBalancer.java
@@ -21,10 +21,10 @@
     /** A load that was told longer ago is not known any more. */
     public static final Duration FRESHNESS_LIMIT = Duration.ofSeconds(1);
 
-    /** Delay from which requests wait for the processor rather than for the thread's present action. */
-    private static final Duration HIGH_DELAY = Duration.ofMillis(5);
+    /** Delay from which callers with an allowance of some 50 ms notice it. */
+    private static final Duration HIGH_DELAY = Duration.ofMillis(8);
     /** Delay up to which the share may shrink. */
-    private static final Duration LOW_DELAY = Duration.ofMillis(2);
+    private static final Duration LOW_DELAY = Duration.ofMillis(4);
     /** Delay above {@link #HIGH_DELAY} at which the share grows at its full rate. */
     private static final Duration DELAY_RANGE = Duration.ofMillis(20);
 
@@ -170,7 +170,7 @@
         double spareShare = (MAX_PEER_BUSY_SHARE - peer.load.busyShare()) / MAX_PEER_BUSY_SHARE;
         return isFresh(peer, nowNanos)
                 && spareShare > 0
-                && peer.load.delay().compareTo(HIGH_DELAY) <= 0
+                && peer.load.delay().compareTo(LOW_DELAY) <= 0
                 && peer.jobsSince < Math.ceil(MAX_JOBS_PER_LOAD * spareShare);
     }
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -16,9 +16,9 @@
 import org.gypsumflow.command.JobOwnerCache;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
-import org.gypsumflow.command.balancing.BusyTime;
 import org.gypsumflow.command.balancing.DelegationTarget;
 import org.gypsumflow.command.balancing.JobBalancer;
+import org.gypsumflow.command.balancing.LoadMeter;
 import org.gypsumflow.command.balancing.PeerChooser;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
@@ -82,7 +82,7 @@
     private final JobObserver observer;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
-    private final BusyTime busyTime;
+    private final LoadMeter loadMeter;
     private final JobDelegations delegations;
     private Optional<Balancing> balancing = Optional.empty();
     private Optional<Pause> possibleSuspension = Optional.empty();
@@ -102,9 +102,9 @@
             JobObserver observer,
             DispatchFeatures features,
             DecisionCounter counter) {
-        this.busyTime = BusyTime.create(time.nanoTime());
+        this.loadMeter = LoadMeter.create(time.nanoTime());
         this.executor =
-                features.jobBalancing() ? MeasuredExecutor.of(trafficExecutor, time, busyTime) : trafficExecutor;
+                features.jobBalancing() ? MeasuredExecutor.of(trafficExecutor, time, loadMeter) : trafficExecutor;
         this.time = time;
         this.events = events;
         this.routingState = routingState;
@@ -191,7 +191,7 @@
     public void balanceJobs(AvailabilityZone ownZone, PeerChooser chooser) {
         JobBalancer balancer = JobBalancer.create();
         balancing = Optional.of(
-                new Balancing(ownZone, balancer, chooser, new EntryLoads(time, peers, balancer, busyTime, ownZone)));
+                new Balancing(ownZone, balancer, chooser, new EntryLoads(time, peers, balancer, loadMeter, ownZone)));
     }
 
     /** Starts the periodic work: timeouts, detection of pauses, and messages to peers about accepted jobs. */
@@ -301,7 +301,7 @@
         long arrivedNanos = time.nanoTime();
         executor.execute(() -> {
             detectPause();
-            balancing.ifPresent(part -> part.loads().requestDelayed(Duration.ofNanos(time.nanoTime() - arrivedNanos)));
+            loadMeter.recordDelay(Duration.ofNanos(time.nanoTime() - arrivedNanos));
             if (drained != null) {
                 counter.increment("jobs_rejected", "draining");
                 outcome.complete(BestEffortOutcome.notRun("this host is draining", RETRY_AFTER_DRAINING));
@@ -361,8 +361,8 @@
             events.write(
                     Event.DELEGATION_STARTED,
                     target.get().peer(),
-                    Math.round(part.loads().busyShare() * PERCENT),
-                    part.loads().delay().toMillis());
+                    Math.round(loadMeter.busyShare() * PERCENT),
+                    loadMeter.delay().toMillis());
         }
         return true;
     }
--- a/src/main/java/org/gypsumflow/traffic/EntryLoads.java
+++ b/src/main/java/org/gypsumflow/traffic/EntryLoads.java
@@ -7,9 +7,8 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.gypsumflow.command.BestEffortTimings;
-import org.gypsumflow.command.admission.ProcessingDelay;
-import org.gypsumflow.command.balancing.BusyTime;
 import org.gypsumflow.command.balancing.JobBalancer;
+import org.gypsumflow.command.balancing.LoadMeter;
 import org.gypsumflow.command.balancing.PeerLoad;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.model.AvailabilityZone;
@@ -47,22 +46,20 @@
     private final TimeSource time;
     private final PeerPaths paths;
     private final JobBalancer balancer;
-    private final BusyTime busyTime;
+    private final LoadMeter loadMeter;
     private final AvailabilityZone ownZone;
-    private final ProcessingDelay processingDelay;
     private final Map<MemberName, Peer> peers = new HashMap<>();
     private OptionalLong expectedTickNanos = OptionalLong.empty();
     private long lastSentNanos;
     private boolean hasRunJobs;
     private volatile double busyShare;
 
-    EntryLoads(TimeSource time, PeerPaths paths, JobBalancer balancer, BusyTime busyTime, AvailabilityZone ownZone) {
+    EntryLoads(TimeSource time, PeerPaths paths, JobBalancer balancer, LoadMeter loadMeter, AvailabilityZone ownZone) {
         this.time = time;
         this.paths = paths;
         this.balancer = balancer;
-        this.busyTime = busyTime;
+        this.loadMeter = loadMeter;
         this.ownZone = ownZone;
-        this.processingDelay = ProcessingDelay.create(time.nanoTime());
         this.lastSentNanos = time.nanoTime();
     }
 
@@ -86,11 +83,6 @@
         }
     }
 
-    /** Records how long a request waited from its arrival in this process until now. */
-    void requestDelayed(Duration delay) {
-        processingDelay.record(delay, time.nanoTime());
-    }
-
     /** Takes the load of a peer. */
     void received(MemberName name, EntryLoad load) {
         Peer peer = peers.get(name);
@@ -125,11 +117,12 @@
     void tick(int activeJobs, boolean acceptsJobs) {
         long nowNanos = time.nanoTime();
         if (expectedTickNanos.isPresent()) {
-            processingDelay.record(Duration.ofNanos(nowNanos - expectedTickNanos.getAsLong()), nowNanos);
+            loadMeter.recordDelay(Duration.ofNanos(nowNanos - expectedTickNanos.getAsLong()));
         }
         expectedTickNanos = OptionalLong.of(nowNanos + BestEffortTimings.REPORT_INTERVAL.toNanos());
-        busyShare = busyTime.share(nowNanos);
-        Duration delay = processingDelay.standing(nowNanos);
+        loadMeter.completeInterval(nowNanos);
+        busyShare = loadMeter.busyShare();
+        Duration delay = loadMeter.delay();
         balancer.ownLoadMeasured(delay, busyShare);
         boolean matters =
                 activeJobs > 0 || hasRunJobs || peers.values().stream().anyMatch(peer -> peer.runsJobs);
@@ -156,10 +149,6 @@
         return busyShare;
     }
 
-    Duration delay() {
-        return processingDelay.standing(time.nanoTime());
-    }
-
     private Duration interval() {
         // Ticks are a little late; without the allowance every second one would miss its time.
         Duration interval = peers.size() < BestEffortTimings.ENTRIES_AT_FULL_RATE ? INTERVAL : INTERVAL_AMONG_MANY;
--- a/src/main/java/org/gypsumflow/traffic/MeasuredExecutor.java
+++ b/src/main/java/org/gypsumflow/traffic/MeasuredExecutor.java
@@ -1,7 +1,7 @@
 package org.gypsumflow.traffic;
 
 import java.time.Duration;
-import org.gypsumflow.command.balancing.BusyTime;
+import org.gypsumflow.command.balancing.LoadMeter;
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.control.TimeSource;
 
@@ -9,16 +9,16 @@
 final class MeasuredExecutor implements SerialExecutor {
     private final SerialExecutor executor;
     private final TimeSource time;
-    private final BusyTime busyTime;
+    private final LoadMeter loadMeter;
 
-    private MeasuredExecutor(SerialExecutor executor, TimeSource time, BusyTime busyTime) {
+    private MeasuredExecutor(SerialExecutor executor, TimeSource time, LoadMeter loadMeter) {
         this.executor = executor;
         this.time = time;
-        this.busyTime = busyTime;
+        this.loadMeter = loadMeter;
     }
 
-    static MeasuredExecutor of(SerialExecutor executor, TimeSource time, BusyTime busyTime) {
-        return new MeasuredExecutor(executor, time, busyTime);
+    static MeasuredExecutor of(SerialExecutor executor, TimeSource time, LoadMeter loadMeter) {
+        return new MeasuredExecutor(executor, time, loadMeter);
     }
 
     @Override
@@ -36,7 +36,7 @@
         try {
             action.run();
         } finally {
-            busyTime.record(startNanos, time.nanoTime());
+            loadMeter.recordAction(startNanos, time.nanoTime());
         }
     }
 }
--- a/src/test/java/org/gypsumflow/command/balancing/JobBalancerTest.java
+++ b/src/test/java/org/gypsumflow/command/balancing/JobBalancerTest.java
@@ -48,6 +48,19 @@
         return targets;
     }
 
+    // Guards against an entry that gets jobs because it is too busy to measure its load in time.
+    @Test
+    public void anEntryWhoseTimersAreLateDoesNotLookIdle() {
+        LoadMeter meter = LoadMeter.create(0);
+        long nowNanos = 0;
+        for (int interval = 0; interval < 5; interval++) {
+            nowNanos += Duration.ofMillis(400).toNanos();
+            meter.recordDelay(Duration.ofMillis(300));
+            meter.completeInterval(nowNanos);
+        }
+        assertTrue(meter.delay().compareTo(Duration.ofMillis(200)) > 0, "delay " + meter.delay());
+    }
+
     // Load: an entry as busy as its peers, which none of them would relieve.
     @Test
     public void anEntryThatIsNotBusyKeepsItsJobs() {
