--- a/src/main/java/org/gypsumflow/command/balancing/JobBalancer.java
+++ b/src/main/java/org/gypsumflow/command/balancing/JobBalancer.java
@@ -40,6 +40,8 @@
 
     /** Mean processor time of a job at an entry, from which the wait at a busy one is estimated. */
     private static final Duration HANDLING_TIME = Duration.ofMillis(2);
+    /** Measured delays vary; entries that are equally busy must not hand jobs over to each other. */
+    private static final double MIN_RATIO_OF_DELAYS = 1.5;
     /** Least gain beyond the way there and back, for the work of handing a job over. */
     private static final Duration MIN_GAIN = Duration.ofMillis(1);
     /** What bytes between zones cost, as a delay: decides between peers that are otherwise equal. */
@@ -146,7 +148,7 @@
         MemberName second = candidates.get(random.nextInt(candidates.size()));
         MemberName better = cost(second).compareTo(cost(first)) < 0 ? second : first;
         Duration ownCost = expectedDelay(ownDelay, ownBusyShare).minus(MIN_GAIN);
-        if (cost(better).compareTo(ownCost) >= 0) {
+        if (MIN_RATIO_OF_DELAYS * cost(better).toNanos() >= ownCost.toNanos()) {
             return Optional.empty();
         }
         peers.get(better).jobsSince++;
--- a/src/main/java/org/gypsumflow/command/balancing/LoadMeter.java
+++ b/src/main/java/org/gypsumflow/command/balancing/LoadMeter.java
@@ -11,8 +11,8 @@
  */
 public final class LoadMeter {
     private static final Duration MIN_INTERVAL = Duration.ofMillis(50);
-    /** Weight of the newest interval. */
-    private static final double SMOOTHING = 0.5;
+    /** Weight of the newest interval: of entries that are equally busy, none should look idle for a moment. */
+    private static final double SMOOTHING = 0.2;
 
     private long intervalStartNanos;
     private long busyNanos;
--- a/src/test/java/org/gypsumflow/command/balancing/JobBalancerTest.java
+++ b/src/test/java/org/gypsumflow/command/balancing/JobBalancerTest.java
@@ -104,6 +104,15 @@
                 List.of());
     }
 
+    // Load: entries that are all as busy, whose measurements vary.
+    @Test
+    public void aPeerThatIsHardlyLessBusyGetsNoJobs() {
+        measure(0.8, Duration.ofMillis(4), 10);
+        Duration delay = Duration.ofMillis(4);
+        assertEquals(
+                draw(() -> balancer.loadReceived(PEER, new PeerLoad(delay, 0.6, SHORT_WAY, true), 0), 0), List.of());
+    }
+
     // Load: a moderately busy entry, and an idle one in a distant region.
     @Test
     public void aPeerThatIsFurtherAwayThanTheGainGetsNoJobs() {
