--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -115,18 +115,18 @@
     }
 
     /**
-     * Starts a job that has waited at this entry, or adds a waiter to the active job of that id, as
+     * Starts a job that was accepted before, at this entry or another one, or adds a waiter to the active job of that id, as
      * {@link #submit(BestEffortJob, long, Duration, Consumer)} does.
      *
      * @param job the job
-     * @param arrivedNanos monotonic time of its arrival, from which its latency objective counts
+     * @param acceptedNanos monotonic time at which the job was accepted, from which its latency objective counts
      * @param nowNanos current monotonic time
-     * @param timeLeft time until the caller stops waiting, transit of the response included
+     * @param timeLeft time from now until the caller stops waiting, transit of the response included
      * @param waiter receives the outcome, exactly once unless it is removed
      */
     public void submit(
             BestEffortJob job,
-            long arrivedNanos,
+            long acceptedNanos,
             long nowNanos,
             Duration timeLeft,
             Consumer<BestEffortOutcome> waiter) {
@@ -143,7 +143,7 @@
         }
         boolean formerRunsEnding = endingJobs.isEnding(job.id());
         ActiveJob activeJob =
-                new ActiveJob(job, arrivedNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
+                new ActiveJob(job, acceptedNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
         if (formerRunsEnding) {
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -139,6 +139,13 @@
     OVERLOAD_BEGAN(631, Level.WARN, "overloaded: acts {} ms late on what arrives, {} active jobs, limit {}"),
     /** An entry keeps up again. */
     OVERLOAD_ENDED(632, Level.INFO, "keeps up again after {} ms of overload, {} requests rejected, acts {} ms late"),
+    /** An entry began to hand jobs over to its peers. */
+    DELEGATION_STARTED(
+            640, Level.INFO, "hands jobs over to other entries, the first to {}: busy share {} percent, delay {} ms"),
+    /** An entry runs all its jobs itself again. */
+    DELEGATION_STOPPED(641, Level.INFO, "runs all its jobs itself again, after {} were handed over"),
+    /** The path to an entry closed while it ran jobs of this one. */
+    DELEGATION_LOST(642, Level.WARN, "connection to entry {} closed while it ran {} jobs of this entry"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -6,16 +6,19 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.gypsumflow.command.DecisionCounter;
 import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
+import org.gypsumflow.command.balancing.PeerChooser;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.ReceptionMonitor;
 import org.gypsumflow.control.ReceptionProgress;
@@ -23,6 +26,8 @@
 import org.gypsumflow.control.SerialExecutor;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.BestEffortMessage.ClosedZones;
+import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.Incarnation;
@@ -30,6 +35,8 @@
 import org.gypsumflow.model.Member;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RoutingTable;
 import org.gypsumflow.model.Verdict;
 import org.gypsumflow.traffic.BestEffortAgent;
 import org.gypsumflow.traffic.BestEffortEntry;
@@ -111,6 +118,11 @@
     final Map<String, EntryHost> entries = new TreeMap<>();
     final Map<String, AgentHost> agents = new TreeMap<>();
     final List<String> traceLines = new ArrayList<>();
+    final Map<String, Integer> decisions = new TreeMap<>();
+    private List<Route> routes = List.of();
+    /** Chooses for each new process of an entry the peers that run its jobs; empty if it hands none over. */
+    private Supplier<Optional<PeerChooser>> balancing = Optional::empty;
+
     private final Random random;
     private final boolean traced;
     private final DispatchFeatures features;
@@ -119,14 +131,14 @@
     BestEffortSimulation(long seed, boolean traced, DispatchFeatures features) {
         this.features = features;
         this.random = new Random(seed);
-        this.features = new DispatchFeatures(hasOverloadControl(seed), false, false, false, false);
         this.network = new MemberNetwork(clock, random);
         this.traced = traced;
     }
 
-    /** Entries have overload control in every second history. */
-    static boolean hasOverloadControl(long seed) {
-        return seed % 2 == 0;
+    /** Lets entries that start from now on hand jobs over; each needs the routes to take one. */
+    void balanceJobs(List<Route> newRoutes, Supplier<Optional<PeerChooser>> newBalancing) {
+        routes = newRoutes;
+        balancing = newBalancing;
     }
 
     static String seconds(long nanos) {
@@ -170,15 +182,28 @@
         SerialExecutor traffic = process.newTrafficExecutor();
         host.process = process;
         host.control = control;
+        Optional<PeerChooser> chooser = balancing.get();
+        RoutingStateCache routingState = RoutingStateCache.create(events);
+        if (!routes.isEmpty()) {
+            routingState.update(
+                    new ShareRoutingState(new RoutingTable(1, routes, Set.of()), ClosedZones.NONE), "the test");
+        }
+        DecisionCounter counter = (decision, cause) -> decisions.merge(decision + " " + cause, 1, Integer::sum);
         host.instance = BestEffortEntry.create(
                 traffic,
                 process.timeSource(),
                 EarliestFinishPlacement.policy(),
-                RoutingStateCache.create(events),
+                routingState,
                 events,
                 JobObserver.none(),
-                features,
-                DecisionCounter.none());
+                new DispatchFeatures(
+                        features.overloadControl(),
+                        chooser.isPresent(),
+                        features.capacitySharing(),
+                        features.interferenceAvoidance(),
+                        features.promptCallRecovery()),
+                counter);
+        chooser.ifPresent(present -> host.instance.balanceJobs(host.member.zone(), present));
         ReceptionProgress receptionProgress = features.overloadControl()
                 ? ReceptionMonitor.start(
                         process.newNetworkExecutor(), process.timeSource(), recordDelayOn(traffic, host.instance))
@@ -322,6 +347,11 @@
         clock.schedule(latency(), () -> attempt.response.complete(outcome));
     }
 
+    /** Returns a future that completes when no caller waits at the entry any more. */
+    CompletableFuture<Void> drain(EntryHost host) {
+        return host.instance.drain(Duration.ZERO);
+    }
+
     /** Sends a cancellation of a job to an entry that is not dead. */
     void cancel(EntryHost host, JobId job) {
         trace("job " + job + " is cancelled at " + host.member.name());
