--- a/src/test/java/org/gypsumflow/traffic/JobDelegationsTest.java
+++ b/src/test/java/org/gypsumflow/traffic/JobDelegationsTest.java
@@ -80,6 +80,17 @@
         agent = RecordingConnection.create();
         peer = RecordingConnection.create();
         otherPeer = RecordingConnection.create();
+        startEntry();
+        entry.peersDiscovered(Set.of());
+        entry.memberConnected(member(AGENT, Member.Role.AGENT), agent);
+        reportOfAgent(List.of());
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
+        peer.sent().clear();
+        otherPeer.sent().clear();
+    }
+
+    private void startEntry() {
         RoutingStateCache routingState = RoutingStateCache.create((event, details) -> {});
         routingState.update(
                 new ShareRoutingState(new RoutingTable(ROUTES_VERSION, List.of(ROUTE), Set.of()), ClosedZones.NONE),
@@ -97,13 +108,6 @@
                 .findFirst()
                 .map(name -> new DelegationTarget(name, Cause.BUSY)));
         entry.start();
-        entry.peersDiscovered(Set.of());
-        entry.memberConnected(member(AGENT, Member.Role.AGENT), agent);
-        reportOfAgent(List.of());
-        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
-        entry.memberConnected(member(OTHER_PEER, Member.Role.ENTRY), otherPeer);
-        peer.sent().clear();
-        otherPeer.sent().clear();
     }
 
     private static Member member(MemberName name, Member.Role role) {
@@ -340,9 +344,21 @@
         assertEquals(assignments(), List.of());
     }
 
-    // Guards against two runs of one task: an entry that was paused does not know whether a job has started elsewhere.
+    // Guards against two runs of one task: an entry that has just started, or was paused, does not know whether the job
+    // has
+    // started elsewhere.
+    @Test
+    public void anEntryThatDoesNotKnowTheJobsOfItsPeersTakesNoneOfThem() {
+        startEntry();
+        entry.memberConnected(member(PEER, Member.Role.ENTRY), peer);
+        receive(PEER, delegation());
+        assertTrue(sent(peer, DelegationEnded.class).get(0).isRefused());
+        assertEquals(assignments(), List.of());
+    }
+
     @Test
-    public void anEntryThatWasPausedOrIsDrainingTakesNoJobsAndTellsNoLoad() {
+    public void aDrainingEntryTakesNoJobsAndTellsNoLoad() {
+        submit();
         receive(PEER, new RequestJobs(1, true));
         entry.drain(Duration.ZERO);
         executor.advance(1000);
