Share capacity that is short among routes by their weights

Cause: when capacity does not suffice, an entry placed what it had by priority and slack. Jobs of many short tasks, which have the highest priority, found no capacity on enough workers at once and were the worst served kind.

Change: CapacityShares counts what each route and zone of callers asks for and is granted, and divides what is granted by weighted max-min fairness. While capacity is short, a share that has more than its part yields: its jobs wait behind those of others, its tasks are not urgent, and it leaves a part of each worker free in proportion to its excess. Retry-After follows the rate at which a share is granted. Events GF660 and GF661, counters by route, and /shares at the metrics address of an entry show it. The model of workers has callers in two zones, patterns in which kinds compete, and reports the worst kind, the worst zone and the largest tenth. Without dispatch.capacity-sharing nothing changes.

--- a/src/main/java/org/gypsumflow/bench/load/JobKind.java
+++ b/src/main/java/org/gypsumflow/bench/load/JobKind.java
@@ -1,6 +1,7 @@
 package org.gypsumflow.bench.load;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Random;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.JobId;
@@ -56,6 +57,11 @@
      * @param value value of a result in time
      */
     record GeneratedJob(BestEffortJob job, double[] taskWorkMillis, double value) {
+        /** Returns the processor time of all tasks on workers of slowdown 1. */
+        double coreSeconds() {
+            return Arrays.stream(taskWorkMillis).sum() * job.resourcesPerTask().cpuMillicores() / 1e6;
+        }
+
         double longestTaskMillis() {
             double longest = 0;
             for (double millis : taskWorkMillis) {
--- a/src/main/java/org/gypsumflow/bench/load/LoadExperiment.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadExperiment.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongFunction;
+import java.util.function.ToDoubleFunction;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.model.Check;
 import org.gypsumflow.model.ValidationException;
@@ -35,6 +37,9 @@
     @Option(name = "--rule", metaVar = "NAME", usage = "policy that selects workers")
     private String policyName = BaselinePolicies.PRODUCTION_POLICY;
 
+    @Option(name = "--capacity-sharing", usage = "switch on the sharing of capacity that is short")
+    private boolean capacitySharing;
+
     @Option(name = "--save", metaVar = "FILE", usage = "write the value ratio of each pattern and seed as CSV")
     private Path outputFile;
 
@@ -82,6 +87,7 @@
                 policyFactory != null,
                 "--rule",
                 "\"" + policyName + "\" is not one of " + BaselinePolicies.all().keySet());
+        DispatchFeatures features = new DispatchFeatures(false, false, capacitySharing, false, false);
         Map<RunKey, Double> valueRatios = new LinkedHashMap<>();
         Map<String, List<LoadReport>> reports = new LinkedHashMap<>();
         for (String name : names) {
@@ -90,7 +96,8 @@
                     "PATTERN",
                     "\"" + name + "\" is not one of " + knownPatterns.keySet());
             for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-                LoadReport report = LoadSimulation.simulate(knownPatterns.get(name), policyFactory.apply(seed), seed);
+                LoadReport report =
+                        LoadSimulation.simulate(knownPatterns.get(name), policyFactory.apply(seed), features, seed);
                 valueRatios.put(new RunKey(name, seed), report.valueRatio());
                 reports.computeIfAbsent(name, first -> new ArrayList<>()).add(report);
             }
@@ -108,21 +115,26 @@
     }
 
     private void print(String name, List<LoadReport> seedReports) {
-        double mean = seedReports.stream()
-                .mapToDouble(LoadReport::valueRatio)
-                .average()
-                .orElse(0);
-        double worst = seedReports.stream()
-                .mapToDouble(LoadReport::worstWindowValueRatio)
-                .average()
-                .orElse(0);
         System.out.printf(
-                "%-22s value ratio %.3f, worst two seconds %.3f (means of %d seeds)%n", name, mean, worst, seeds);
+                "%-22s value ratio %.3f, worst two seconds %.3f, worst kind %.3f, worst zone %.3f, in time %.3f,"
+                        + " largest tenth of the worst kind served %.2f of its kind (means of %d seeds)%n",
+                name,
+                mean(seedReports, LoadReport::valueRatio),
+                mean(seedReports, LoadReport::worstWindowValueRatio),
+                mean(seedReports, LoadReport::worstKindValueRatio),
+                mean(seedReports, LoadReport::worstZoneValueRatio),
+                mean(seedReports, LoadReport::inTimeRatio),
+                mean(seedReports, LoadReport::worstLargestTenthRatio),
+                seeds);
         if (!quiet) {
             System.out.print(seedReports.get(0).text());
         }
     }
 
+    private static double mean(List<LoadReport> reports, ToDoubleFunction<LoadReport> figure) {
+        return reports.stream().mapToDouble(figure).average().orElse(0);
+    }
+
     private void compare(Map<RunKey, Double> valueRatios) {
         Map<String, Double> earlierRatios = read();
         Map<String, List<Double>> differences = new LinkedHashMap<>();
--- a/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
@@ -33,6 +33,11 @@
     private static final double DEFAULT_ESTIMATE_ERROR = 0.4;
     private static final Duration DISRUPTION_START = Duration.ofSeconds(8);
     private static final Duration DISRUPTION_END = Duration.ofSeconds(16);
+    /** Rise and fall of the arrival rate in waves, as a share of its mean, as in the users' requirements. */
+    private static final double WAVE_SWING = 0.55;
+
+    private static final Duration WAVE_PERIOD = Duration.ofSeconds(15);
+    private static final Duration WAVE_STEP = Duration.ofMillis(500);
 
     /**
      * A change of load or workers at a fixed time.
@@ -76,8 +81,23 @@
                 temporaryDisruption(
                         "burst-of-long-jobs",
                         0.75,
-                        simulation -> simulation.scaleArrivals(1, 2.2),
-                        simulation -> simulation.scaleArrivals(1, 1)),
+                        simulation -> simulation.scaleArrivals("long", 2.2),
+                        simulation -> simulation.scaleArrivals(1)),
+                temporaryDisruption(
+                        "burst-of-one-kind",
+                        0.85,
+                        simulation -> simulation.scaleArrivals("middle", 1.9),
+                        simulation -> simulation.scaleArrivals(1)),
+                temporaryDisruption(
+                        "burst-of-two-kinds",
+                        0.85,
+                        simulation -> {
+                            simulation.scaleArrivals(1.3);
+                            simulation.scaleArrivals("short", 1.9);
+                            simulation.scaleArrivals("long", 1.6);
+                        },
+                        simulation -> simulation.scaleArrivals(1)),
+                constant("waves", 0.9).withWaves(),
                 permanentDisruption("zone-lost", 0.7, LoadSimulation::failZone),
                 temporaryDisruption(
                         "slow-quarter",
@@ -113,7 +133,14 @@
                 constant("uneven-entries", 0.75).withFirstEntryShare(0.6),
                 constant("one-entry", 0.75).withEntries(1),
                 constant("thirteen-entries", 0.75).withEntries(13),
-                constant("overload", 1.3))) {
+                constant("overload", 1.3),
+                constant("uneven-overload", 1.3).withFirstEntryShare(0.6),
+                permanentDisruption("hot-key", 1.1, simulation -> simulation.setHotKeyShare(0.5)),
+                temporaryDisruption(
+                        "overload-cancel-wave",
+                        1.3,
+                        simulation -> simulation.setCancelShare(0.4),
+                        simulation -> simulation.setCancelShare(0)))) {
             patterns.put(pattern.name, pattern);
         }
         return patterns;
@@ -139,6 +166,16 @@
         return permanentDisruption(name, offeredLoad, start).withEvent(new LoadEvent(DISRUPTION_END, end));
     }
 
+    private LoadPattern withWaves() {
+        LoadPattern pattern = this;
+        for (Duration offset = Duration.ZERO; offset.compareTo(ARRIVAL_DURATION) < 0; offset = offset.plus(WAVE_STEP)) {
+            double phase = 2 * Math.PI * offset.toMillis() / WAVE_PERIOD.toMillis();
+            pattern = pattern.withEvent(
+                    new LoadEvent(offset, simulation -> simulation.scaleArrivals(1 + WAVE_SWING * Math.sin(phase))));
+        }
+        return pattern;
+    }
+
     private LoadPattern withEvent(LoadEvent event) {
         List<LoadEvent> extended = new ArrayList<>(events);
         extended.add(event);
--- a/src/main/java/org/gypsumflow/bench/load/LoadReport.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadReport.java
@@ -1,9 +1,14 @@
 package org.gypsumflow.bench.load;
 
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import org.gypsumflow.bench.load.JobKind.GeneratedJob;
+import org.gypsumflow.model.AvailabilityZone;
 
 /** Outcomes, value and cost of the jobs of one simulation. */
 final class LoadReport {
@@ -22,11 +27,34 @@
         CANCELLED
     }
 
-    /** Totals of one kind of job. */
-    static final class KindTotals {
+    private record FinishedJob(double coreSeconds, boolean served) {}
+
+    /** Totals of the jobs of one kind, or of the callers of one zone. */
+    private static final class Totals {
         private final Map<OutcomeCategory, Integer> counts = new EnumMap<>(OutcomeCategory.class);
         private double maxValue;
         private double earnedValue;
+        private final List<FinishedJob> jobs = new ArrayList<>();
+
+        private void record(GeneratedJob job, OutcomeCategory category, double earned) {
+            maxValue += job.value();
+            earnedValue += earned;
+            jobs.add(new FinishedJob(
+                    job.coreSeconds(), category == OutcomeCategory.IN_TIME || category == OutcomeCategory.LATE));
+        }
+
+        /** Returns how often the largest tenth is served, as a ratio to how often all are. */
+        private double largestTenthRatio() {
+            List<FinishedJob> largest = jobs.stream()
+                    .sorted(Comparator.comparingDouble(FinishedJob::coreSeconds).reversed())
+                    .limit((jobs.size() + 9) / 10)
+                    .toList();
+            return servedShare(jobs) == 0 ? 1 : servedShare(largest) / servedShare(jobs);
+        }
+
+        private static double servedShare(List<FinishedJob> jobs) {
+            return (double) jobs.stream().filter(FinishedJob::served).count() / Math.max(1, jobs.size());
+        }
 
         int count(OutcomeCategory category) {
             return counts.getOrDefault(category, 0);
@@ -41,7 +69,8 @@
         }
     }
 
-    private final Map<String, KindTotals> totalsByKind = new LinkedHashMap<>();
+    private final Map<String, Totals> totalsByKind = new LinkedHashMap<>();
+    private final Map<AvailabilityZone, Totals> totalsByZone = new TreeMap<>();
     private final double[] maxValueBySecond = new double[(int) LoadPattern.ARRIVAL_DURATION.toSeconds() + 1];
     private final double[] earnedValueBySecond = new double[maxValueBySecond.length];
     private double maxValue;
@@ -57,15 +86,12 @@
         return new LoadReport();
     }
 
-    void recordJob(JobKind.GeneratedJob job, double arrivedSeconds, OutcomeCategory category) {
-        KindTotals totals =
-                totalsByKind.computeIfAbsent(job.job().route().name().value(), name -> new KindTotals());
+    void recordJob(GeneratedJob job, AvailabilityZone callerZone, double arrivedSeconds, OutcomeCategory category) {
+        Totals totals = totalsByKind.computeIfAbsent(job.job().route().name().value(), name -> new Totals());
         totals.counts.merge(category, 1, Integer::sum);
         taskCount += job.job().taskCount();
         if (category == OutcomeCategory.IN_TIME || category == OutcomeCategory.LATE) {
-            usefulCoreSeconds += Arrays.stream(job.taskWorkMillis()).sum()
-                    * job.job().resourcesPerTask().cpuMillicores()
-                    / 1e6;
+            usefulCoreSeconds += job.coreSeconds();
         }
         if (category == OutcomeCategory.CANCELLED) {
             return;
@@ -74,8 +100,8 @@
                 ? job.value()
                 : category == OutcomeCategory.LATE ? job.value() * LATE_VALUE_SHARE : 0;
         int second = (int) Math.min(maxValueBySecond.length - 1, arrivedSeconds);
-        totals.maxValue += job.value();
-        totals.earnedValue += earned;
+        totals.record(job, category, earned);
+        totalsByZone.computeIfAbsent(callerZone, zone -> new Totals()).record(job, category, earned);
         maxValue += job.value();
         earnedValue += earned;
         maxValueBySecond[second] += job.value();
@@ -114,6 +140,35 @@
         return totalsByKind.get(kind).valueRatio();
     }
 
+    double worstKindValueRatio() {
+        return totalsByKind.values().stream()
+                .mapToDouble(Totals::valueRatio)
+                .min()
+                .orElse(1);
+    }
+
+    double worstZoneValueRatio() {
+        return totalsByZone.values().stream()
+                .mapToDouble(Totals::valueRatio)
+                .min()
+                .orElse(1);
+    }
+
+    /** Returns how often the largest tenth of a kind is served, as a ratio to its whole kind, for the worst kind. */
+    double worstLargestTenthRatio() {
+        return totalsByKind.values().stream()
+                .mapToDouble(Totals::largestTenthRatio)
+                .min()
+                .orElse(1);
+    }
+
+    /** Returns the share of the jobs that were not cancelled whose results came in time. */
+    double inTimeRatio() {
+        int cancelled = count(OutcomeCategory.CANCELLED);
+        int jobCount = totalsByKind.values().stream().mapToInt(Totals::jobCount).sum();
+        return (double) count(OutcomeCategory.IN_TIME) / Math.max(1, jobCount - cancelled);
+    }
+
     int count(OutcomeCategory category) {
         return totalsByKind.values().stream()
                 .mapToInt(totals -> totals.count(category))
--- a/src/main/java/org/gypsumflow/bench/load/LoadSimulation.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadSimulation.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.gypsumflow.bench.load.JobKind.GeneratedJob;
 import org.gypsumflow.bench.load.LoadReport.OutcomeCategory;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortOutcome;
@@ -24,6 +25,10 @@
     private static final int WORKER_COUNT = 11;
 
     private static final int ZONE_COUNT = 4;
+    /** Number of zones from which callers come; the entries are in them by turns. */
+    private static final int CALLER_ZONE_COUNT = 2;
+    /** Kind of the jobs that a hot key gets. */
+    private static final String HOT_KIND = "middle";
     /** One in this many workers is larger. */
     private static final int LARGE_WORKER_INTERVAL = 3;
 
@@ -50,22 +55,23 @@
     private final Random random;
     private double cancelShare;
     private double poisonedShare;
+    private double hotKeyShare;
     private long nextJobNumber;
 
-    private LoadSimulation(LoadPattern pattern, JobPlacementPolicy policy, long seed) {
+    private LoadSimulation(LoadPattern pattern, JobPlacementPolicy policy, DispatchFeatures features, long seed) {
         this.pattern = pattern;
         this.random = new Random(seed);
         double totalCoreSpeed = addWorkers(seed);
         for (int index = 0; index < pattern.entryCount(); index++) {
-            network.addEntry(MemberName.of("entry-" + index), policy);
+            network.addEntry(entryName(index), callerZone(index), policy, features);
         }
         this.kinds = kinds(totalCoreSpeed * pattern.offeredLoad());
         this.arrivalFactors = new double[] {1, 1, 1};
     }
 
     /** Simulates a pattern with its warm-up and cool-down, and returns the report on all its jobs. */
-    static LoadReport simulate(LoadPattern pattern, JobPlacementPolicy policy, long seed) {
-        return new LoadSimulation(pattern, policy, seed).run();
+    static LoadReport simulate(LoadPattern pattern, JobPlacementPolicy policy, DispatchFeatures features, long seed) {
+        return new LoadSimulation(pattern, policy, features, seed).run();
     }
 
     /** Multiplies the normal arrival rate of every kind of job. */
@@ -75,10 +81,18 @@
         }
     }
 
-    /** Multiplies the normal arrival rates, that of the kind with the longest tasks by a factor of its own. */
-    void scaleArrivals(double factor, double longFactor) {
-        scaleArrivals(factor);
-        arrivalFactors[1] = longFactor;
+    /** Multiplies the normal arrival rate of one kind of job. */
+    void scaleArrivals(String kindName, double factor) {
+        for (int kind = 0; kind < arrivalFactors.length; kind++) {
+            if (kinds.get(kind).name().equals(kindName)) {
+                arrivalFactors[kind] = factor;
+            }
+        }
+    }
+
+    /** Sets the share of the jobs of one kind that go to the first entry, whatever the pattern says of the others. */
+    void setHotKeyShare(double share) {
+        hotKeyShare = share;
     }
 
     /** Applies a change to the given share of the workers, counted from the first; to one at least. */
@@ -180,7 +194,8 @@
         GeneratedJob job = kind.generate(nextJobNumber++, pattern.estimateError(), random);
         boolean poisoned = random.nextDouble() < poisonedShare;
         boolean cancels = random.nextDouble() < cancelShare;
-        MemberName entry = chooseEntry();
+        int entryIndex = chooseEntry(kind);
+        MemberName entry = entryName(entryIndex);
         if (poisoned) {
             for (int index = 0; index < job.taskWorkMillis().length; index++) {
                 job.taskWorkMillis()[index] *= 20;
@@ -195,7 +210,11 @@
                 entry, job.job(), Duration.ofMillis((long) (CALLER_TIMEOUT_FACTOR * objectiveMillis)), outcome -> {
                     double latencyMillis = (scheduler.nowNanos() - arrivedNanos) / 1e6;
                     if (!poisoned) {
-                        report.recordJob(job, arrivedSeconds, categorize(outcome, latencyMillis, objectiveMillis));
+                        report.recordJob(
+                                job,
+                                callerZone(entryIndex),
+                                arrivedSeconds,
+                                categorize(outcome, latencyMillis, objectiveMillis));
                     }
                 });
         if (cancels) {
@@ -222,10 +241,20 @@
                 : OutcomeCategory.EXPIRED;
     }
 
-    private MemberName chooseEntry() {
-        boolean first = random.nextDouble() < pattern.firstEntryShare();
+    private int chooseEntry(JobKind kind) {
+        double firstEntryShare =
+                kind.name().equals(HOT_KIND) && hotKeyShare > 0 ? hotKeyShare : pattern.firstEntryShare();
+        boolean first = random.nextDouble() < firstEntryShare;
         int otherEntries = pattern.entryCount() - 1;
-        return MemberName.of("entry-" + (first || otherEntries == 0 ? 0 : 1 + random.nextInt(otherEntries)));
+        return first || otherEntries == 0 ? 0 : 1 + random.nextInt(otherEntries);
+    }
+
+    private static MemberName entryName(int index) {
+        return MemberName.of("entry-" + index);
+    }
+
+    private static AvailabilityZone callerZone(int entryIndex) {
+        return AvailabilityZone.of("zone-" + entryIndex % CALLER_ZONE_COUNT);
     }
 
     private double workMillis(BestEffortTaskId task) {
--- a/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
@@ -9,10 +9,14 @@
 import java.util.function.Consumer;
 import org.gypsumflow.command.AgentClient;
 import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.DecisionCounter;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.JobDispatcher;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.sharing.CapacityShares;
+import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
@@ -35,12 +39,19 @@
         this.simulation = simulation;
     }
 
-    void addEntry(MemberName name, JobPlacementPolicy policy) {
+    void addEntry(MemberName name, AvailabilityZone zone, JobPlacementPolicy policy, DispatchFeatures features) {
         AgentClient agentClient = new AgentClient(
                 (agent, assignments) -> assign(name, agent, assignments),
                 (agent, job, indexes) -> stop(name, agent, job, indexes));
         JobDispatcher dispatcher = JobDispatcher.create(
-                WorkerCapacityTracker.create(), policy, agentClient, EventLog.none(), JobObserver.none());
+                WorkerCapacityTracker.create(),
+                policy,
+                agentClient,
+                features.capacitySharing()
+                        ? CapacityShares.create(zone, EventLog.none(), DecisionCounter.none())
+                        : CapacityShares.disabled(),
+                EventLog.none(),
+                JobObserver.none());
         entries.put(name, dispatcher);
         simulation.scheduleWithFixedDelay(
                 BestEffortTimings.REPORT_INTERVAL, () -> dispatcher.tick(simulation.nowNanos()));
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -16,6 +16,7 @@
 import org.gypsumflow.command.JobPlacementPolicy.PlacementRequest;
 import org.gypsumflow.command.WorkerCapacityTracker.Candidate;
 import org.gypsumflow.command.WorkerSpeedEstimator.Sample;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
@@ -27,6 +28,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
 
@@ -37,8 +39,6 @@
  * <p>A job completes when all its tasks are done. Otherwise its outcome says whether any part may have run.
  */
 public final class JobDispatcher {
-    /** Retry-After of a rejected job: the queue of a worker drains within this time. */
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     /** Time for the response to reach the caller; subtracted from the deadline, which covers it. */
     private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(30);
 
@@ -61,6 +61,7 @@
     private final WorkerCapacityTracker capacityTracker;
     private final JobPlacementPolicy placementPolicy;
     private final AgentClient agentClient;
+    private final CapacityShares shares;
     private final EventLog events;
     private final JobObserver observer;
 
@@ -68,11 +69,13 @@
             WorkerCapacityTracker capacityTracker,
             JobPlacementPolicy placementPolicy,
             AgentClient agentClient,
+            CapacityShares shares,
             EventLog events,
             JobObserver observer) {
         this.capacityTracker = capacityTracker;
         this.placementPolicy = placementPolicy;
         this.agentClient = agentClient;
+        this.shares = shares;
         this.events = events;
         this.observer = observer;
     }
@@ -83,6 +86,7 @@
      * @param capacityTracker free capacity and speed of the workers; updated by the dispatcher
      * @param placementPolicy chooses workers for tasks
      * @param agentClient sends assignments and stops to agents
+     * @param shares decides who goes first while capacity is short; updated by the dispatcher
      * @param events receives numbered events
      * @param observer notified of the outcome of each job
      * @return the dispatcher
@@ -91,9 +95,10 @@
             WorkerCapacityTracker capacityTracker,
             JobPlacementPolicy placementPolicy,
             AgentClient agentClient,
+            CapacityShares shares,
             EventLog events,
             JobObserver observer) {
-        return new JobDispatcher(capacityTracker, placementPolicy, agentClient, events, observer);
+        return new JobDispatcher(capacityTracker, placementPolicy, agentClient, shares, events, observer);
     }
 
     /**
@@ -124,6 +129,7 @@
                 new ActiveJob(job, nowNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
+        shares.asked(job, nowNanos);
         if (formerRunsEnding) {
             endingJobs.whenEnded(job.id(), () -> place(activeJob, latestNanos));
         }
@@ -271,6 +277,7 @@
      */
     public void tick(long nowNanos) {
         latestNanos = nowNanos;
+        shares.tick(nowNanos);
         endingJobs.tick(nowNanos);
         endingJobs.runDueListeners();
         retryWaitingJobs(nowNanos);
@@ -377,10 +384,12 @@
             }
             return;
         }
-        if (mayWait && !activeJob.mayHaveRun() && isBehindHigherPriority(activeJob)) {
-            waitingJobs.putIfAbsent(job.id(), activeJob);
+        if (mayWait && !activeJob.mayHaveRun() && isBehindOthers(activeJob, nowNanos)) {
+            waitForCapacity(activeJob, nowNanos);
             return;
         }
+        double reservedShare = activeJob.mayHaveRun() ? 0 : shares.reservedShare(job, nowNanos);
+        Duration slack = slackBesideOthers(activeJob, reservedShare, nowNanos);
         Collection<Candidate> candidates =
                 capacityTracker.candidates(job.route().service(), nowNanos);
         boolean workersExpected = areWorkersExpected(job.route().service(), candidates, nowNanos);
@@ -390,17 +399,20 @@
                 job.estimate(),
                 job.route().latencyFactor(),
                 activeJob.remainingLatencyAllowance(nowNanos),
-                activeJob.slack(nowNanos),
+                slack,
                 activeJob.timeToHardDeadline(nowNanos),
                 activeJob.mayHaveRun());
-        List<Placement> placements = placementPolicy.choose(request, candidates);
+        List<Placement> placements = placementPolicy.choose(request, withReservedShare(candidates, reservedShare));
         if (!placements.isEmpty()) {
             waitingJobs.remove(job.id());
-            assign(activeJob, waiting, placements, nowNanos);
+            if (activeJob.assignmentCount() == 0) {
+                shares.granted(job, nowNanos);
+            }
+            assign(activeJob, waiting, placements, slack, nowNanos);
         } else if (isTooLarge(job, candidates)) {
             abandon(activeJob, "no worker is large enough for a task of the job");
         } else if (mayWait && workersExpected) {
-            waitingJobs.putIfAbsent(job.id(), activeJob);
+            waitForCapacity(activeJob, nowNanos);
         } else {
             abandon(
                     activeJob,
@@ -446,6 +458,45 @@
         return nowNanos - lastSeenNanos <= WORKER_RECONNECT_TIMEOUT.toNanos();
     }
 
+    private void waitForCapacity(ActiveJob activeJob, long nowNanos) {
+        if (waitingJobs.putIfAbsent(activeJob.job().id(), activeJob) == null) {
+            shares.delayed(activeJob.job(), nowNanos);
+        }
+    }
+
+    /**
+     * Returns the slack by which a job is placed: tasks of a share that has more than its part are not urgent, however
+     * long they have waited.
+     */
+    private static Duration slackBesideOthers(ActiveJob activeJob, double reservedShare, long nowNanos) {
+        Duration slack = activeJob.slack(nowNanos);
+        boolean yields = reservedShare > 0 && UrgentReserve.isUrgent(slack);
+        return yields ? UrgentReserve.URGENT_SLACK : slack;
+    }
+
+    private static Collection<Candidate> withReservedShare(Collection<Candidate> candidates, double reservedShare) {
+        return reservedShare == 0
+                ? candidates
+                : candidates.stream()
+                        .map(candidate -> candidate.withReservedShare(reservedShare))
+                        .toList();
+    }
+
+    /** Returns whether a job of another share, or without shares one of a higher priority, waits for the capacity. */
+    private boolean isBehindOthers(ActiveJob activeJob, long nowNanos) {
+        if (!shares.isEnabled()) {
+            return isBehindHigherPriority(activeJob);
+        }
+        BestEffortJob job = activeJob.job();
+        return shares.isOverShare(job, nowNanos)
+                && waitingJobs.values().stream()
+                        .filter(other -> !other.mayHaveRun())
+                        .map(ActiveJob::job)
+                        .anyMatch(other ->
+                                other.route().service().equals(job.route().service())
+                                        && !shares.isOverShare(other, nowNanos));
+    }
+
     /** Capacity goes to the job with the highest priority set by the operator, not to the one that needs the least. */
     private boolean isBehindHigherPriority(ActiveJob activeJob) {
         Route route = activeJob.job().route();
@@ -461,9 +512,7 @@
         }
         lastRetryNanos = nowNanos;
         List<ActiveJob> retried = new ArrayList<>(waitingJobs.values());
-        retried.sort(Comparator.<ActiveJob>comparingInt(
-                        activeJob -> activeJob.job().route().priority())
-                .thenComparing(activeJob -> activeJob.slack(nowNanos)));
+        retried.sort(waitingOrder(retried, nowNanos).thenComparing(activeJob -> activeJob.slack(nowNanos)));
         for (int next = 0; next < retried.size(); next++) {
             ActiveJob activeJob = retried.get(next);
             if (next < MAX_PLACEMENTS_PER_RETRY || !mayWaitForCapacity(activeJob, nowNanos)) {
@@ -472,7 +521,19 @@
         }
     }
 
-    private void assign(ActiveJob activeJob, List<Integer> waiting, List<Placement> placements, long nowNanos) {
+    private Comparator<ActiveJob> waitingOrder(Collection<ActiveJob> waiting, long nowNanos) {
+        if (!shares.isEnabled()) {
+            return Comparator.comparingInt(activeJob -> activeJob.job().route().priority());
+        }
+        Map<RouteName, Double> grants = new HashMap<>();
+        waiting.forEach(activeJob -> grants.computeIfAbsent(
+                activeJob.job().route().name(), route -> shares.weightedGrant(activeJob.job(), nowNanos)));
+        return Comparator.comparingDouble(
+                activeJob -> grants.get(activeJob.job().route().name()));
+    }
+
+    private void assign(
+            ActiveJob activeJob, List<Integer> waiting, List<Placement> placements, Duration slack, long nowNanos) {
         BestEffortJob job = activeJob.job();
         Duration maxQueueTime = activeJob.timeToHardDeadline(nowNanos).minus(job.estimate());
         Map<MemberName, List<TaskAssignment>> assignments = new TreeMap<>();
@@ -491,7 +552,7 @@
                             job.resourcesPerTask(),
                             job.estimate(),
                             maxQueueTime.isNegative() ? Duration.ZERO : maxQueueTime,
-                            activeJob.slack(nowNanos),
+                            slack,
                             placements.get(position).mayQueue()));
         }
         assignments.forEach(agentClient.assigner()::assign);
@@ -503,6 +564,7 @@
      */
     private void abandon(ActiveJob activeJob, String reason) {
         boolean mayHaveRun = activeJob.mayHaveRun();
+        BestEffortOutcome outcome = mayHaveRun ? BestEffortOutcome.mayHaveRun(reason) : reject(activeJob, reason);
         events.write(
                 Event.JOB_ABANDONED,
                 activeJob.job().id(),
@@ -510,9 +572,12 @@
                 mayHaveRun,
                 capacityTracker.agentCount(),
                 reason);
-        finish(
-                activeJob,
-                mayHaveRun ? BestEffortOutcome.mayHaveRun(reason) : BestEffortOutcome.notRun(reason, RETRY_AFTER));
+        finish(activeJob, outcome);
+    }
+
+    private BestEffortOutcome reject(ActiveJob activeJob, String reason) {
+        shares.rejected(activeJob.job());
+        return BestEffortOutcome.notRun(reason, shares.retryAfter(activeJob.job(), latestNanos));
     }
 
     private boolean finishEarly(JobId id, BestEffortOutcome outcome) {
--- a/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
+++ b/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
@@ -30,7 +30,13 @@
      * @param slowdown run duration of its tasks as a multiple of their estimates, 1.0 if they agree
      */
     public record Candidate(
-            MemberName agent, WorkerStatus reportedStatus, Resources uncommitted, Resources idle, double slowdown) {}
+            MemberName agent, WorkerStatus reportedStatus, Resources uncommitted, Resources idle, double slowdown) {
+        /** Returns the worker with less free capacity, since this part of its cores is reserved for other tasks. */
+        Candidate withReservedShare(double share) {
+            Resources reserved = Resources.of((int) (reportedStatus.capacity().cpuMillicores() * share), 0, 0);
+            return new Candidate(agent, reportedStatus, uncommitted.minus(reserved), idle.minus(reserved), slowdown);
+        }
+    }
 
     private static final class TrackedWorker {
         private WorkerStatus status;
--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -4,11 +4,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.MemberDiscovery;
 import org.gypsumflow.control.RoutingStateCache;
@@ -51,6 +54,7 @@
     private final SerialExecutor controlExecutor;
     private final SerialExecutor trafficExecutor;
     private final CompactedLog store;
+    private final Map<String, Supplier<CompletableFuture<?>>> queries = new ConcurrentHashMap<>();
     private ConnectionManager connectionManager;
     private MemberDiscovery memberDiscovery;
 
@@ -193,8 +197,16 @@
         events.write(Event.STARTED, self.name(), incarnation, self.zone());
     }
 
+    /** Serves the result of a query as JSON at a path of the metrics address. */
+    final void addQuery(String path, Supplier<CompletableFuture<?>> query) {
+        queries.put(path, query);
+    }
+
     private CompletableFuture<ServerResponse> scrape(ServerRequest request) {
-        return CompletableFuture.completedFuture(ServerResponse.text(OK, metrics.scrape()));
+        Supplier<CompletableFuture<?>> query = queries.get(request.path());
+        return query == null
+                ? CompletableFuture.completedFuture(ServerResponse.text(OK, metrics.scrape()))
+                : query.get().thenApply(result -> ServerResponse.json(OK, result));
     }
 
     private SerialExecutor createExecutor(String name) {
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.gypsumflow.command.EarliestFinishPlacement;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.control.CompactedLogConsumer;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.TimeSource;
@@ -12,6 +13,7 @@
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
 import org.gypsumflow.platform.ReadinessResource;
+import org.gypsumflow.query.ShareQuery;
 import org.gypsumflow.traffic.BestEffortEntry;
 
 /** Entry daemon for best-effort jobs. */
@@ -22,6 +24,9 @@
      */
     private static final Duration ACCEPT_AFTER_NOT_READY = Duration.ofMillis(2200);
 
+    /** Path of the metrics address at which the shares of the services are listed. */
+    private static final String SHARES_PATH = "/shares";
+
     private final BestEffortEntry entry;
     private volatile boolean draining;
 
@@ -34,8 +39,12 @@
                 routingState(),
                 events(),
                 metrics()::recordOutcome,
+                settings.features().capacitySharing()
+                        ? CapacityShares.create(settings.self().zone(), events(), metrics()::countDecision)
+                        : CapacityShares.disabled(),
                 settings.features(),
                 metrics()::countDecision);
+        addQuery(SHARES_PATH, () -> entry.shareStatuses().thenApply(ShareQuery::list));
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,13 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** Jobs wait for capacity of a service, and shares decide who goes first. */
+    CAPACITY_SHORT(
+            660,
+            Level.WARN,
+            "capacity of service {} is short: {} shares ask for {} thousandths of a core, {} were granted"),
+    /** Few jobs wait for capacity of a service any more. */
+    CAPACITY_SUFFICIENT(661, Level.INFO, "capacity of service {} suffices again, it was short for {} ms"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -16,6 +16,8 @@
 import org.gypsumflow.command.JobOwnerCache;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.sharing.CapacityShares;
+import org.gypsumflow.command.sharing.ShareStatus;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -69,6 +71,7 @@
     private final PauseDetector pauseDetector;
     private final JobDispatcher dispatcher;
     private final JobObserver observer;
+    private final CapacityShares shares;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
     private Optional<Pause> possibleSuspension = Optional.empty();
@@ -83,6 +86,7 @@
             RoutingStateCache routingState,
             EventLog events,
             JobObserver observer,
+            CapacityShares shares,
             DispatchFeatures features,
             DecisionCounter counter) {
         this.executor = executor;
@@ -91,6 +95,7 @@
         this.routingState = routingState;
         this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
+        this.shares = shares;
         this.features = features;
         this.counter = counter;
         this.barrier = JobBarrier.create(time.nanoTime());
@@ -101,6 +106,7 @@
                 capacityTracker,
                 placementPolicy,
                 new AgentClient(this::assignTasks, this::stopTasks),
+                shares,
                 events,
                 observer);
         this.announcements = new JobAnnouncements(time, peers, dispatcher, handovers, jobOwners);
@@ -131,6 +137,7 @@
                 routingState,
                 events,
                 observer,
+                CapacityShares.disabled(),
                 DispatchFeatures.none(),
                 DecisionCounter.none());
     }
@@ -144,6 +151,7 @@
      * @param routingState latest known routes and closed zones
      * @param events receives numbered log events
      * @param observer receives the outcome of each job
+     * @param shares decides who goes first while capacity is short
      * @param features parts that are switched on
      * @param counter counts the decisions of these parts
      * @return the entry
@@ -155,9 +163,22 @@
             RoutingStateCache routingState,
             EventLog events,
             JobObserver observer,
+            CapacityShares shares,
             DispatchFeatures features,
             DecisionCounter counter) {
-        return new BestEffortEntry(executor, time, placementPolicy, routingState, events, observer, features, counter);
+        return new BestEffortEntry(
+                executor, time, placementPolicy, routingState, events, observer, shares, features, counter);
+    }
+
+    /**
+     * Returns who shares the capacity of each service at this entry.
+     *
+     * @return completes with the statuses of all shares; empty if sharing is off
+     */
+    public CompletableFuture<List<ShareStatus>> shareStatuses() {
+        CompletableFuture<List<ShareStatus>> statuses = new CompletableFuture<>();
+        executor.execute(() -> statuses.complete(shares.statuses(time.nanoTime())));
+        return statuses;
     }
 
     /** Starts the periodic work: timeouts, detection of pauses, and messages to peers about accepted jobs. */
--- a/src/test/java/org/gypsumflow/bench/load/LoadPatternTest.java
+++ b/src/test/java/org/gypsumflow/bench/load/LoadPatternTest.java
@@ -3,13 +3,38 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
 import org.gypsumflow.bench.load.LoadReport.OutcomeCategory;
+import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.testng.annotations.Test;
 
 public final class LoadPatternTest {
+    private static final DispatchFeatures CAPACITY_SHARING = new DispatchFeatures(false, false, true, false, false);
+    private static final long[] SEEDS = {1, 2};
+
     private static LoadReport simulate(String pattern, long seed) {
-        return LoadSimulation.simulate(LoadPattern.all().get(pattern), EarliestFinishPlacement.policy(), seed);
+        return simulate(pattern, DispatchFeatures.none(), seed);
+    }
+
+    private static LoadReport simulate(String pattern, DispatchFeatures features, long seed) {
+        return LoadSimulation.simulate(
+                LoadPattern.all().get(pattern), EarliestFinishPlacement.policy(), features, seed);
+    }
+
+    private static double mean(String pattern, DispatchFeatures features, ToDoubleFunction<LoadReport> figure) {
+        return LongStream.of(SEEDS)
+                .mapToObj(seed -> simulate(pattern, features, seed))
+                .mapToDouble(figure)
+                .average()
+                .orElseThrow();
+    }
+
+    private static void assertSharingServesBetter(String pattern, ToDoubleFunction<LoadReport> figure) {
+        double before = mean(pattern, DispatchFeatures.none(), figure);
+        double after = mean(pattern, CAPACITY_SHARING, figure);
+        assertTrue(after > before, after + " after " + before);
     }
 
     @Test
@@ -61,4 +86,53 @@
     public void theSameSeedGivesTheSameReport() {
         assertEquals(simulate("steady-85", 7).text(), simulate("steady-85", 7).text());
     }
+
+    @Test
+    public void sharingEarnsMoreInABurstOfOneKind() {
+        assertSharingServesBetter("burst-of-one-kind", LoadReport::valueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstKindBetterInABurstOfTwoKinds() {
+        assertSharingServesBetter("burst-of-two-kinds", LoadReport::worstKindValueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstKindBetterInWaves() {
+        assertSharingServesBetter("waves", LoadReport::worstKindValueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstKindBetterWhenAKeyGetsHalfOfAKind() {
+        assertSharingServesBetter("hot-key", LoadReport::worstKindValueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstKindBetterWhenCallersLeave() {
+        assertSharingServesBetter("overload-cancel-wave", LoadReport::worstKindValueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstKindBetterInAnOverloadOfAll() {
+        assertSharingServesBetter("overload", LoadReport::worstKindValueRatio);
+    }
+
+    @Test
+    public void sharingServesTheWorstZoneBetterWhenOneEntryGetsMostOfAnOverload() {
+        assertSharingServesBetter("uneven-overload", LoadReport::worstZoneValueRatio);
+    }
+
+    @Test
+    public void theLargestTenthOfEachKindIsServedAtLeastHalfAsOftenAsItsKindInAnOverload() {
+        double halfAsOften = 0.5;
+        assertTrue(mean("overload", CAPACITY_SHARING, LoadReport::worstLargestTenthRatio) > halfAsOften);
+    }
+
+    @Test
+    public void sharingChangesNothingWhileCapacitySufficesForAll() {
+        assertEquals(
+                simulate("steady-65", CAPACITY_SHARING, 1).valueRatio(),
+                simulate("steady-65", 1).valueRatio(),
+                0.005);
+    }
 }
--- a/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
+++ b/src/test/java/org/gypsumflow/command/JobDispatcherTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
@@ -59,6 +60,7 @@
                 WorkerCapacityTracker.create(),
                 EarliestFinishPlacement.policy(),
                 agentClient,
+                CapacityShares.disabled(),
                 (event, details) -> {},
                 JobObserver.none());
         dispatcher.agentReported(FIRST, new AgentReport(List.of(), status(32)), 0);
