--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -482,12 +482,12 @@
                         .toList();
     }
 
-    /** Returns whether a job of another share, or without shares one of a higher priority, waits for the capacity. */
+    /** Returns whether a job that goes first waits for the capacity: by shares while it is short, else by priority. */
     private boolean isBehindOthers(ActiveJob activeJob, long nowNanos) {
-        if (!shares.isEnabled()) {
+        BestEffortJob job = activeJob.job();
+        if (!shares.isCapacityShort(job.route().service(), nowNanos)) {
             return isBehindHigherPriority(activeJob);
         }
-        BestEffortJob job = activeJob.job();
         return shares.isOverShare(job, nowNanos)
                 && waitingJobs.values().stream()
                         .filter(other -> !other.mayHaveRun())
@@ -521,15 +521,19 @@
         }
     }
 
+    /** Orders waiting jobs by what their shares have got while capacity is short, else by priority. */
     private Comparator<ActiveJob> waitingOrder(Collection<ActiveJob> waiting, long nowNanos) {
-        if (!shares.isEnabled()) {
-            return Comparator.comparingInt(activeJob -> activeJob.job().route().priority());
+        Map<RouteName, Double> ranks = new HashMap<>();
+        for (ActiveJob activeJob : waiting) {
+            Route route = activeJob.job().route();
+            ranks.computeIfAbsent(
+                    route.name(),
+                    name -> shares.isCapacityShort(route.service(), nowNanos)
+                            ? shares.weightedGrant(activeJob.job(), nowNanos)
+                            : route.priority());
         }
-        Map<RouteName, Double> grants = new HashMap<>();
-        waiting.forEach(activeJob -> grants.computeIfAbsent(
-                activeJob.job().route().name(), route -> shares.weightedGrant(activeJob.job(), nowNanos)));
         return Comparator.comparingDouble(
-                activeJob -> grants.get(activeJob.job().route().name()));
+                activeJob -> ranks.get(activeJob.job().route().name()));
     }
 
     private void assign(
--- a/src/main/java/org/gypsumflow/command/sharing/CapacityShares.java
+++ b/src/main/java/org/gypsumflow/command/sharing/CapacityShares.java
@@ -112,12 +112,14 @@
     }
 
     /**
-     * Returns whether shares decide who goes first.
+     * Returns whether shares decide who goes first; otherwise priorities alone do.
      *
-     * @return false if priorities alone decide
+     * @param service service whose capacity is asked for
+     * @param nowNanos current monotonic time
+     * @return true while its capacity is short
      */
-    public boolean isEnabled() {
-        return enabled;
+    public boolean isCapacityShort(ServiceName service, long nowNanos) {
+        return enabled && updatedShares(service, nowNanos).capacityShort;
     }
 
     /**
@@ -212,7 +214,7 @@
      * @return time from {@link #MIN_RETRY_AFTER} to {@link #MAX_RETRY_AFTER}, in whole seconds
      */
     public Duration retryAfter(BestEffortJob job, long nowNanos) {
-        if (!enabled || !updatedShares(job.route().service(), nowNanos).capacityShort) {
+        if (!isCapacityShort(job.route().service(), nowNanos)) {
             return MIN_RETRY_AFTER;
         }
         Share share = share(job);
@@ -263,7 +265,7 @@
 
     /** Returns by how much the share of a job exceeds its part, as a multiple of that; 0 unless capacity is short. */
     private double excess(BestEffortJob job, long nowNanos) {
-        if (!enabled || !updatedShares(job.route().service(), nowNanos).capacityShort) {
+        if (!isCapacityShort(job.route().service(), nowNanos)) {
             return 0;
         }
         return share(job).excess;
