--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -19,6 +19,7 @@
 import org.gypsumflow.command.JobPlacementPolicy.PlacementRequest;
 import org.gypsumflow.command.WorkerCapacityTracker.Candidate;
 import org.gypsumflow.command.WorkerSpeedEstimator.Sample;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
@@ -30,6 +31,7 @@
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Route;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.ServiceName;
 
@@ -40,8 +42,6 @@
  * <p>A job completes when all its tasks are done. Otherwise its outcome says whether any part may have run.
  */
 public final class JobDispatcher {
-    /** Retry-After of a rejected job: the queue of a worker drains within this time. */
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     /** Time for the response to reach the caller; subtracted from the deadline, which covers it. */
     private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(30);
 
@@ -64,6 +64,7 @@
     private final WorkerCapacityTracker capacityTracker;
     private final JobPlacementPolicy placementPolicy;
     private final AgentClient agentClient;
+    private final CapacityShares shares;
     private final EventLog events;
     private final JobObserver observer;
 
@@ -71,11 +72,13 @@
             WorkerCapacityTracker capacityTracker,
             JobPlacementPolicy placementPolicy,
             AgentClient agentClient,
+            CapacityShares shares,
             EventLog events,
             JobObserver observer) {
         this.capacityTracker = capacityTracker;
         this.placementPolicy = placementPolicy;
         this.agentClient = agentClient;
+        this.shares = shares;
         this.events = events;
         this.observer = observer;
     }
@@ -86,6 +89,7 @@
      * @param capacityTracker free capacity and speed of the workers; updated by the dispatcher
      * @param placementPolicy chooses workers for tasks
      * @param agentClient sends assignments and stops to agents
+     * @param shares decides who goes first while capacity is short; updated by the dispatcher
      * @param events receives numbered events
      * @param observer notified of the outcome of each job
      * @return the dispatcher
@@ -94,9 +98,10 @@
             WorkerCapacityTracker capacityTracker,
             JobPlacementPolicy placementPolicy,
             AgentClient agentClient,
+            CapacityShares shares,
             EventLog events,
             JobObserver observer) {
-        return new JobDispatcher(capacityTracker, placementPolicy, agentClient, events, observer);
+        return new JobDispatcher(capacityTracker, placementPolicy, agentClient, shares, events, observer);
     }
 
     /**
@@ -146,6 +151,7 @@
                 new ActiveJob(job, acceptedNanos, deadlineNanos, endingJobs.firstRunNumber(job.id()), formerRunsEnding);
         activeJob.addWaiter(waiter);
         jobs.put(job.id(), activeJob);
+        shares.asked(job, nowNanos);
         if (formerRunsEnding) {
             endingJobs.whenEnded(job.id(), () -> place(activeJob, latestNanos));
         }
@@ -303,6 +309,7 @@
      */
     public void tick(long nowNanos) {
         latestNanos = nowNanos;
+        shares.tick(nowNanos);
         endingJobs.tick(nowNanos);
         endingJobs.runDueListeners();
         retryWaitingJobs(nowNanos);
@@ -413,10 +420,12 @@
             }
             return;
         }
-        if (mayWait && !activeJob.mayHaveRun() && isBehindHigherPriority(activeJob)) {
-            waitingJobs.putIfAbsent(job.id(), activeJob);
+        if (mayWait && !activeJob.mayHaveRun() && isBehindOthers(activeJob, nowNanos)) {
+            waitForCapacity(activeJob, nowNanos);
             return;
         }
+        double reservedShare = activeJob.mayHaveRun() ? 0 : shares.reservedShare(job, nowNanos);
+        Duration slack = slackBesideOthers(activeJob, reservedShare, nowNanos);
         Collection<Candidate> candidates =
                 capacityTracker.candidates(job.route().service(), nowNanos);
         boolean workersExpected = areWorkersExpected(job.route().service(), candidates, nowNanos);
@@ -426,17 +435,20 @@
                 job.estimate(),
                 job.route().latencyFactor(),
                 activeJob.remainingLatencyAllowance(nowNanos),
-                activeJob.slack(nowNanos),
+                slack,
                 activeJob.timeToHardDeadline(nowNanos),
                 activeJob.mayHaveRun());
-        List<Placement> placements = placementPolicy.choose(request, candidates);
+        List<Placement> placements = placementPolicy.choose(request, withReservedShare(candidates, reservedShare));
         if (!placements.isEmpty()) {
             waitingJobs.remove(job.id());
-            assign(activeJob, waiting, placements, nowNanos);
+            if (activeJob.assignmentCount() == 0) {
+                shares.granted(job, nowNanos);
+            }
+            assign(activeJob, waiting, placements, slack, nowNanos);
         } else if (isTooLarge(job, candidates)) {
             abandon(activeJob, "no worker is large enough for a task of the job");
         } else if (mayWait && workersExpected) {
-            waitingJobs.putIfAbsent(job.id(), activeJob);
+            waitForCapacity(activeJob, nowNanos);
         } else {
             abandon(
                     activeJob,
@@ -481,6 +493,45 @@
         return nowNanos - lastSeenNanos <= WORKER_RECONNECT_TIMEOUT.toNanos();
     }
 
+    private void waitForCapacity(ActiveJob activeJob, long nowNanos) {
+        if (waitingJobs.putIfAbsent(activeJob.job().id(), activeJob) == null) {
+            shares.delayed(activeJob.job(), nowNanos);
+        }
+    }
+
+    /**
+     * Returns the slack by which a job is placed: tasks of a share that has more than its part are not urgent, however
+     * long they have waited.
+     */
+    private static Duration slackBesideOthers(ActiveJob activeJob, double reservedShare, long nowNanos) {
+        Duration slack = activeJob.slack(nowNanos);
+        boolean yields = reservedShare > 0 && UrgentReserve.isUrgent(slack);
+        return yields ? UrgentReserve.URGENT_SLACK : slack;
+    }
+
+    private static Collection<Candidate> withReservedShare(Collection<Candidate> candidates, double reservedShare) {
+        return reservedShare == 0
+                ? candidates
+                : candidates.stream()
+                        .map(candidate -> candidate.withReservedShare(reservedShare))
+                        .toList();
+    }
+
+    /** Returns whether a job that goes first waits for the capacity: by shares while it is short, else by priority. */
+    private boolean isBehindOthers(ActiveJob activeJob, long nowNanos) {
+        BestEffortJob job = activeJob.job();
+        if (!shares.isCapacityShort(job.route().service(), nowNanos)) {
+            return isBehindHigherPriority(activeJob);
+        }
+        return shares.isOverShare(job, nowNanos)
+                && waitingJobs.values().stream()
+                        .filter(other -> !other.mayHaveRun())
+                        .map(ActiveJob::job)
+                        .anyMatch(other ->
+                                other.route().service().equals(job.route().service())
+                                        && !shares.isOverShare(other, nowNanos));
+    }
+
     /** Capacity goes to the job with the highest priority set by the operator, not to the one that needs the least. */
     private boolean isBehindHigherPriority(ActiveJob activeJob) {
         Route route = activeJob.job().route();
@@ -501,9 +552,7 @@
         }
         lastRetryNanos = nowNanos;
         List<ActiveJob> retried = new ArrayList<>(waitingJobs.values());
-        retried.sort(Comparator.<ActiveJob>comparingInt(
-                        activeJob -> activeJob.job().route().priority())
-                .thenComparing(activeJob -> activeJob.slack(nowNanos)));
+        retried.sort(waitingOrder(retried, nowNanos).thenComparing(activeJob -> activeJob.slack(nowNanos)));
         for (int next = 0; next < retried.size(); next++) {
             ActiveJob activeJob = retried.get(next);
             if (next < MAX_PLACEMENTS_PER_RETRY || !mayWaitForCapacity(activeJob, nowNanos)) {
@@ -512,7 +561,23 @@
         }
     }
 
-    private void assign(ActiveJob activeJob, List<Integer> waiting, List<Placement> placements, long nowNanos) {
+    /** Orders waiting jobs by what their shares have got while capacity is short, else by priority. */
+    private Comparator<ActiveJob> waitingOrder(Collection<ActiveJob> waiting, long nowNanos) {
+        Map<RouteName, Double> ranks = new HashMap<>();
+        for (ActiveJob activeJob : waiting) {
+            Route route = activeJob.job().route();
+            ranks.computeIfAbsent(
+                    route.name(),
+                    name -> shares.isCapacityShort(route.service(), nowNanos)
+                            ? shares.weightedGrant(activeJob.job(), nowNanos)
+                            : route.priority());
+        }
+        return Comparator.comparingDouble(
+                activeJob -> ranks.get(activeJob.job().route().name()));
+    }
+
+    private void assign(
+            ActiveJob activeJob, List<Integer> waiting, List<Placement> placements, Duration slack, long nowNanos) {
         BestEffortJob job = activeJob.job();
         Duration maxQueueTime = activeJob.timeToHardDeadline(nowNanos).minus(job.estimate());
         Map<MemberName, List<TaskAssignment>> assignments = new TreeMap<>();
@@ -531,7 +596,7 @@
                             job.resourcesPerTask(),
                             job.estimate(),
                             maxQueueTime.isNegative() ? Duration.ZERO : maxQueueTime,
-                            activeJob.slack(nowNanos),
+                            slack,
                             placements.get(position).mayQueue()));
         }
         assignments.forEach(agentClient.assigner()::assign);
@@ -543,6 +608,7 @@
      */
     private void abandon(ActiveJob activeJob, String reason) {
         boolean mayHaveRun = activeJob.mayHaveRun();
+        BestEffortOutcome outcome = mayHaveRun ? BestEffortOutcome.mayHaveRun(reason) : reject(activeJob, reason);
         events.write(
                 Event.JOB_ABANDONED,
                 activeJob.job().id(),
@@ -550,9 +616,12 @@
                 mayHaveRun,
                 capacityTracker.agentCount(),
                 reason);
-        finish(
-                activeJob,
-                mayHaveRun ? BestEffortOutcome.mayHaveRun(reason) : BestEffortOutcome.notRun(reason, RETRY_AFTER));
+        finish(activeJob, outcome);
+    }
+
+    private BestEffortOutcome reject(ActiveJob activeJob, String reason) {
+        shares.rejected(activeJob.job());
+        return BestEffortOutcome.notRun(reason, shares.retryAfter(activeJob.job(), latestNanos));
     }
 
     private boolean finishEarly(JobId id, BestEffortOutcome outcome) {
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.gypsumflow.command.EarliestFinishPlacement;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.control.CompactedLogConsumer;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.ReceptionMonitor;
@@ -16,6 +17,7 @@
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
 import org.gypsumflow.platform.ReadinessResource;
+import org.gypsumflow.query.ShareQuery;
 import org.gypsumflow.traffic.BestEffortEntry;
 
 /** Entry daemon for best-effort jobs. */
@@ -27,6 +29,8 @@
     private static final Duration ACCEPT_AFTER_NOT_READY = Duration.ofMillis(2200);
 
     private static final double NANOS_PER_SECOND = 1e9;
+    /** Path of the metrics address at which the shares of the services are listed. */
+    private static final String SHARES_PATH = "/shares";
 
     private final BestEffortEntry entry;
     private final ReceptionProgress receptionProgress;
@@ -41,6 +45,9 @@
                 routingState(),
                 events(),
                 metrics()::recordOutcome,
+                settings.features().capacitySharing()
+                        ? CapacityShares.create(settings.self().zone(), events(), metrics()::countDecision)
+                        : CapacityShares.disabled(),
                 settings.features(),
                 metrics()::countDecision);
         this.receptionProgress = settings.features().overloadControl()
@@ -55,6 +62,7 @@
             entry.balanceJobs(settings.self().zone(), (balancer, nowNanos) -> balancer.choosePeer(nowNanos, random));
             metrics().addGauge("entry.busy_share", entry::busyShare);
         }
+        addQuery(SHARES_PATH, () -> entry.shareStatuses().thenApply(ShareQuery::list));
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -146,6 +146,13 @@
     DELEGATION_STOPPED(641, Level.INFO, "runs all its jobs itself again, after {} were handed over"),
     /** The path to an entry closed while it ran jobs of this one. */
     DELEGATION_LOST(642, Level.WARN, "connection to entry {} closed while it ran {} jobs of this entry"),
+    /** Jobs wait for capacity of a service, and shares decide who goes first. */
+    CAPACITY_SHORT(
+            660,
+            Level.WARN,
+            "capacity of service {} is short: {} shares ask for {} thousandths of a core, {} were granted"),
+    /** Few jobs wait for capacity of a service any more. */
+    CAPACITY_SUFFICIENT(661, Level.INFO, "capacity of service {} suffices again, it was short for {} ms"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -20,6 +20,8 @@
 import org.gypsumflow.command.balancing.JobBalancer;
 import org.gypsumflow.command.balancing.LoadMeter;
 import org.gypsumflow.command.balancing.PeerChooser;
+import org.gypsumflow.command.sharing.CapacityShares;
+import org.gypsumflow.command.sharing.ShareStatus;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -82,6 +84,7 @@
     private final JobDispatcher dispatcher;
     private final JobAdmission admission;
     private final JobObserver observer;
+    private final CapacityShares shares;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
     private final LoadMeter loadMeter;
@@ -102,6 +105,7 @@
             RoutingStateCache routingState,
             EventLog events,
             JobObserver observer,
+            CapacityShares shares,
             DispatchFeatures features,
             DecisionCounter counter) {
         this.loadMeter = LoadMeter.create(time.nanoTime());
@@ -112,6 +116,7 @@
         this.routingState = routingState;
         this.pauseDetector = PauseDetector.create(BestEffortTimings.ENTRY_PAUSE_THRESHOLD, time);
         this.observer = observer;
+        this.shares = shares;
         this.features = features;
         this.counter = counter;
         this.barrier = JobBarrier.create(time.nanoTime());
@@ -122,6 +127,7 @@
                 capacityTracker,
                 placementPolicy,
                 new AgentClient(this::assignTasks, this::stopTasks),
+                shares,
                 events,
                 observer);
         this.delegations = new JobDelegations(
@@ -163,6 +169,7 @@
                 routingState,
                 events,
                 observer,
+                CapacityShares.disabled(),
                 DispatchFeatures.none(),
                 DecisionCounter.none());
     }
@@ -176,6 +183,7 @@
      * @param routingState latest known routes and closed zones
      * @param events receives numbered log events
      * @param observer receives the outcome of each job
+     * @param shares decides who goes first while capacity is short
      * @param features parts that are switched on
      * @param counter counts the decisions of these parts
      * @return the entry
@@ -187,9 +195,22 @@
             RoutingStateCache routingState,
             EventLog events,
             JobObserver observer,
+            CapacityShares shares,
             DispatchFeatures features,
             DecisionCounter counter) {
-        return new BestEffortEntry(executor, time, placementPolicy, routingState, events, observer, features, counter);
+        return new BestEffortEntry(
+                executor, time, placementPolicy, routingState, events, observer, shares, features, counter);
+    }
+
+    /**
+     * Returns who shares the capacity of each service at this entry.
+     *
+     * @return completes with the statuses of all shares; empty if sharing is off
+     */
+    public CompletableFuture<List<ShareStatus>> shareStatuses() {
+        CompletableFuture<List<ShareStatus>> statuses = new CompletableFuture<>();
+        executor.execute(() -> statuses.complete(shares.statuses(time.nanoTime())));
+        return statuses;
     }
 
     /**
