--- a/src/main/java/org/gypsumflow/bench/load/BaselinePolicies.java
+++ b/src/main/java/org/gypsumflow/bench/load/BaselinePolicies.java
@@ -57,7 +57,8 @@
                     leastLoaded.reportedStatus(),
                     leastLoaded.uncommitted().minus(request.resourcesPerTask()),
                     leastLoaded.idle(),
-                    leastLoaded.slowdown()));
+                    leastLoaded.slowdown(),
+                    leastLoaded.interference()));
             placements.add(new Placement(leastLoaded.agent(), true));
         }
         return placements;
--- a/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadPattern.java
@@ -16,6 +16,7 @@
  * @param firstEntryShare share of the jobs that arrive at the first entry
  * @param estimateError share by which estimates may be off, up or down
  * @param fleet slowdowns of the workers
+ * @param interference how much long and middle jobs slow each other down on one worker
  * @param events disruptions during the simulation, in any order
  */
 record LoadPattern(
@@ -25,6 +26,7 @@
         double firstEntryShare,
         double estimateError,
         Fleet fleet,
+        Interference interference,
         List<LoadEvent> events) {
     /** Time during which jobs arrive. */
     static final Duration ARRIVAL_DURATION = Duration.ofSeconds(30);
@@ -42,6 +44,16 @@
      */
     record LoadEvent(Duration offset, Consumer<LoadSimulation> action) {}
 
+    /**
+     * Kinds of tasks that slow each other down.
+     *
+     * @param factor factor by which the tasks of long and of middle jobs run slower beside each other, 1 if they do not
+     * @param avoided true if interference avoidance is on
+     */
+    record Interference(double factor, boolean avoided) {
+        private static final Interference NONE = new Interference(1, false);
+    }
+
     /** Slowdowns of the workers of a deployment, repeated in order; modelled on the users' two deployments. */
     enum Fleet {
         ONE_FAST_IN_FOUR(List.of(0.55, 1.2, 1.2, 1.2)),
@@ -113,7 +125,13 @@
                 constant("uneven-entries", 0.75).withFirstEntryShare(0.6),
                 constant("one-entry", 0.75).withEntries(1),
                 constant("thirteen-entries", 0.75).withEntries(13),
-                constant("overload", 1.3))) {
+                constant("overload", 1.3),
+                constant("steady-65-avoidance", 0.65).withInterference(new Interference(1, true)),
+                constant("steady-85-avoidance", 0.85).withInterference(new Interference(1, true)),
+                constant("interfering-kinds-50", 0.5).withInterference(new Interference(1.8, false)),
+                constant("interfering-kinds-50-avoidance", 0.5).withInterference(new Interference(1.8, true)),
+                constant("interfering-kinds-100", 1).withInterference(new Interference(1.8, false)),
+                constant("interfering-kinds-100-avoidance", 1).withInterference(new Interference(1.8, true)))) {
             patterns.put(pattern.name, pattern);
         }
         return patterns;
@@ -127,6 +145,7 @@
                 1.0 / DEFAULT_ENTRY_COUNT,
                 DEFAULT_ESTIMATE_ERROR,
                 Fleet.ONE_FAST_IN_FOUR,
+                Interference.NONE,
                 List.of());
     }
 
@@ -143,22 +162,34 @@
         List<LoadEvent> extended = new ArrayList<>(events);
         extended.add(event);
         return new LoadPattern(
-                name, offeredLoad, entryCount, firstEntryShare, estimateError, fleet, List.copyOf(extended));
+                name,
+                offeredLoad,
+                entryCount,
+                firstEntryShare,
+                estimateError,
+                fleet,
+                interference,
+                List.copyOf(extended));
     }
 
     private LoadPattern withEstimateError(double error) {
-        return new LoadPattern(name, offeredLoad, entryCount, firstEntryShare, error, fleet, events);
+        return new LoadPattern(name, offeredLoad, entryCount, firstEntryShare, error, fleet, interference, events);
     }
 
     private LoadPattern withFirstEntryShare(double share) {
-        return new LoadPattern(name, offeredLoad, entryCount, share, estimateError, fleet, events);
+        return new LoadPattern(name, offeredLoad, entryCount, share, estimateError, fleet, interference, events);
     }
 
     private LoadPattern withEntries(int count) {
-        return new LoadPattern(name, offeredLoad, count, 1.0 / count, estimateError, fleet, events);
+        return new LoadPattern(name, offeredLoad, count, 1.0 / count, estimateError, fleet, interference, events);
     }
 
     private LoadPattern withFleet(Fleet other) {
-        return new LoadPattern(name, offeredLoad, entryCount, firstEntryShare, estimateError, other, events);
+        return new LoadPattern(
+                name, offeredLoad, entryCount, firstEntryShare, estimateError, other, interference, events);
+    }
+
+    private LoadPattern withInterference(Interference other) {
+        return new LoadPattern(name, offeredLoad, entryCount, firstEntryShare, estimateError, fleet, other, events);
     }
 }
--- a/src/main/java/org/gypsumflow/bench/load/LoadReport.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadReport.java
@@ -50,6 +50,7 @@
     private double spentCoreSeconds;
     private long taskCount;
     private long messageCount;
+    private int believedPairs;
 
     private LoadReport() {}
 
@@ -87,6 +88,15 @@
         messageCount = sent;
     }
 
+    /** Records the pairs of kinds that all entries together keep apart at the end. */
+    void recordBelievedPairs(int count) {
+        believedPairs = count;
+    }
+
+    int believedPairs() {
+        return believedPairs;
+    }
+
     /** Returns the earned share of the value of all jobs but the cancelled ones; 1 if there are none. */
     double valueRatio() {
         return maxValue == 0 ? 1 : earnedValue / maxValue;
@@ -127,8 +137,14 @@
     /** Formats the report as text, one line per kind of job. */
     String text() {
         StringBuilder text = new StringBuilder(String.format(
-                "value ratio %.3f, worst two seconds %.3f, used %.0f core seconds for %.0f useful ones, %.2f messages per task%n",
-                valueRatio(), worstWindowValueRatio(), spentCoreSeconds, usefulCoreSeconds, messagesPerTask()));
+                "value ratio %.3f, worst two seconds %.3f, used %.0f core seconds for %.0f useful ones, %.2f messages per task,"
+                        + " %d pairs of kinds kept apart%n",
+                valueRatio(),
+                worstWindowValueRatio(),
+                spentCoreSeconds,
+                usefulCoreSeconds,
+                messagesPerTask(),
+                believedPairs));
         totalsByKind.forEach((name, totals) -> text.append(String.format(
                 "  %-8s value ratio %.3f: %5d jobs, %5d in time, %4d late, %4d expired, %4d rejected, %4d failed, %4d cancelled%n",
                 name,
--- a/src/main/java/org/gypsumflow/bench/load/LoadSimulation.java
+++ b/src/main/java/org/gypsumflow/bench/load/LoadSimulation.java
@@ -6,13 +6,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.gypsumflow.bench.load.JobKind.GeneratedJob;
 import org.gypsumflow.bench.load.LoadReport.OutcomeCategory;
+import org.gypsumflow.command.DecisionCounter;
 import org.gypsumflow.command.JobPlacementPolicy;
+import org.gypsumflow.command.interference.InterferenceModel;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.EventLog;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
@@ -35,6 +39,8 @@
     private static final Duration COOL_DOWN = Duration.ofSeconds(15);
     /** Time that callers wait, as a multiple of the objective, as observed on the platform. */
     private static final double CALLER_TIMEOUT_FACTOR = 4;
+    /** Kinds of jobs whose tasks slow each other down in patterns with interference. */
+    private static final Set<String> INTERFERING_KINDS = Set.of("long", "middle");
     /** Time from submission to cancellation in a wave of cancellations. */
     private static final Duration CANCEL_DELAY = Duration.ofMillis(80);
 
@@ -45,6 +51,7 @@
     private final Map<JobId, GeneratedJob> jobs = new HashMap<>();
     private final List<SimulatedWorker> workers = new ArrayList<>();
     private final List<SimulatedAgent> agents = new ArrayList<>();
+    private final List<InterferenceModel> interferenceModels = new ArrayList<>();
     private final List<JobKind> kinds;
     private final double[] arrivalFactors;
     private final Random random;
@@ -57,7 +64,11 @@
         this.random = new Random(seed);
         double totalCoreSpeed = addWorkers(seed);
         for (int index = 0; index < pattern.entryCount(); index++) {
-            network.addEntry(MemberName.of("entry-" + index), policy);
+            InterferenceModel interferenceModel = pattern.interference().avoided()
+                    ? InterferenceModel.create(EventLog.none(), DecisionCounter.none())
+                    : InterferenceModel.disabled();
+            interferenceModels.add(interferenceModel);
+            network.addEntry(MemberName.of("entry-" + index), policy, interferenceModel);
         }
         this.kinds = kinds(totalCoreSpeed * pattern.offeredLoad());
         this.arrivalFactors = new double[] {1, 1, 1};
@@ -115,6 +126,7 @@
                     slowdown,
                     scheduler,
                     new Random(seed + index));
+            worker.setInterference(pattern.interference().factor(), this::isInterfering);
             workers.add(worker);
             SimulatedAgent agent = new SimulatedAgent(scheduler, worker, network, this::workMillis);
             agents.add(agent);
@@ -157,6 +169,9 @@
                 .forEach(event -> scheduler.schedule(
                         WARM_UP.plus(event.offset()), () -> event.action().accept(this)));
         scheduler.runUntil(WARM_UP.plus(LoadPattern.ARRIVAL_DURATION).plus(COOL_DOWN));
+        report.recordBelievedPairs(interferenceModels.stream()
+                .mapToInt(InterferenceModel::believedCount)
+                .sum());
         report.recordTotals(
                 workers.stream().mapToDouble(SimulatedWorker::busyCoreSeconds).sum(), network.messageCount());
         return report;
@@ -228,6 +243,17 @@
         return MemberName.of("entry-" + (first || otherEntries == 0 ? 0 : 1 + random.nextInt(otherEntries)));
     }
 
+    private boolean isInterfering(BestEffortTaskId first, BestEffortTaskId second) {
+        String firstKind = kindOf(first);
+        return !firstKind.equals(kindOf(second))
+                && INTERFERING_KINDS.contains(firstKind)
+                && INTERFERING_KINDS.contains(kindOf(second));
+    }
+
+    private String kindOf(BestEffortTaskId task) {
+        return jobs.get(task.job()).job().route().name().value();
+    }
+
     private double workMillis(BestEffortTaskId task) {
         return jobs.get(task.job()).taskWorkMillis()[task.index()];
     }
--- a/src/main/java/org/gypsumflow/bench/load/SimulatedAgent.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedAgent.java
@@ -11,6 +11,7 @@
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
 import org.gypsumflow.command.AgentScheduler.TaskRun;
 import org.gypsumflow.command.BestEffortTimings;
+import org.gypsumflow.command.interference.NeighbourTracker;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
@@ -33,7 +34,7 @@
     private final SimulatedWorker worker;
     private final SimulatedNetwork network;
     private final Function<BestEffortTaskId, Double> workMillis;
-    private final AgentScheduler agentScheduler = AgentScheduler.create();
+    private final AgentScheduler agentScheduler = AgentScheduler.create(NeighbourTracker.create());
     private final MemberName memberName;
     private final Map<BestEffortTaskId, TaskAssignment> assignments = new HashMap<>();
     private final Map<MemberName, WorkerStatus> lastStatuses = new HashMap<>();
@@ -154,6 +155,6 @@
 
     private void sendReport(MemberName owner, List<RunResult> results, WorkerStatus status) {
         lastStatuses.put(owner, status);
-        network.report(memberName, owner, new AgentReport(results, status));
+        network.report(memberName, owner, new AgentReport(results, status, agentScheduler.runningMillicores()));
     }
 }
--- a/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
@@ -13,6 +13,7 @@
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.interference.InterferenceModel;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
@@ -35,12 +36,16 @@
         this.simulation = simulation;
     }
 
-    void addEntry(MemberName name, JobPlacementPolicy policy) {
+    void addEntry(MemberName name, JobPlacementPolicy policy, InterferenceModel interferenceModel) {
         AgentClient agentClient = new AgentClient(
                 (agent, assignments) -> assign(name, agent, assignments),
                 (agent, job, indexes) -> stop(name, agent, job, indexes));
         JobDispatcher dispatcher = JobDispatcher.create(
-                WorkerCapacityTracker.create(), policy, agentClient, EventLog.none(), JobObserver.none());
+                WorkerCapacityTracker.create(interferenceModel),
+                policy,
+                agentClient,
+                EventLog.none(),
+                JobObserver.none());
         entries.put(name, dispatcher);
         simulation.scheduleWithFixedDelay(
                 BestEffortTimings.REPORT_INTERVAL, () -> dispatcher.tick(simulation.nowNanos()));
--- a/src/main/java/org/gypsumflow/bench/load/SimulatedWorker.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedWorker.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Resources;
@@ -18,6 +19,10 @@
     private static final class Run {
         private final long startedNanos;
         private final int cpuMillicores;
+        private double remainingNanos;
+        private double factor = 1;
+        private long updatedNanos;
+        private int changes;
 
         private Run(long startedNanos, int cpuMillicores) {
             this.startedNanos = startedNanos;
@@ -36,6 +41,8 @@
     private double temporarySlowdown = 1;
     private double failureShare;
     private boolean hanging;
+    private double interferenceFactor = 1;
+    private BiPredicate<BestEffortTaskId, BestEffortTaskId> interfering = (first, second) -> false;
     private double busyCoreSeconds;
 
     SimulatedWorker(
@@ -84,6 +91,12 @@
         this.hanging = hanging;
     }
 
+    /** Sets the factor by which tasks run slower while an interfering one runs beside them; before the first start. */
+    void setInterference(double factor, BiPredicate<BestEffortTaskId, BestEffortTaskId> which) {
+        interferenceFactor = factor;
+        interfering = which;
+    }
+
     /** Ends all runs without reporting them, as a crash does. */
     void crash() {
         running.clear();
@@ -100,10 +113,45 @@
             simulation.schedule(FAILURE_TIME, () -> finish(task, run, RunOutcome.FAILED));
         } else if (!hanging) {
             Duration runDuration = Duration.ofNanos((long) (workMillis * temporarySlowdown * baseSlowdown * 1e6));
-            simulation.schedule(runDuration, () -> finish(task, run, RunOutcome.DONE));
+            if (interferenceFactor == 1) {
+                simulation.schedule(runDuration, () -> finish(task, run, RunOutcome.DONE));
+            } else {
+                run.remainingNanos = (double) runDuration.toNanos();
+                run.updatedNanos = simulation.nowNanos();
+                run.factor = factorOf(task);
+                scheduleEnd(task, run);
+                updateInterference();
+            }
         }
     }
 
+    private double factorOf(BestEffortTaskId task) {
+        return running.keySet().stream().anyMatch(other -> interfering.test(task, other)) ? interferenceFactor : 1;
+    }
+
+    /** Applies the interference of the present runs to the rest of each run. */
+    private void updateInterference() {
+        running.forEach((task, run) -> {
+            double factor = factorOf(task);
+            if (run.remainingNanos > 0 && factor != run.factor) {
+                run.remainingNanos -= (double) (simulation.nowNanos() - run.updatedNanos) / run.factor;
+                run.updatedNanos = simulation.nowNanos();
+                run.factor = factor;
+                scheduleEnd(task, run);
+            }
+        });
+    }
+
+    private void scheduleEnd(BestEffortTaskId task, Run run) {
+        int change = ++run.changes;
+        Duration rest = Duration.ofNanos((long) Math.max(0, run.remainingNanos * run.factor));
+        simulation.schedule(rest, () -> {
+            if (run.changes == change) {
+                finish(task, run, RunOutcome.DONE);
+            }
+        });
+    }
+
     void stop(BestEffortTaskId task) {
         Run run = running.get(task);
         if (run != null) {
@@ -114,6 +162,9 @@
     private void finish(BestEffortTaskId task, Run run, RunOutcome outcome) {
         if (running.remove(task, run)) {
             busyCoreSeconds += (simulation.nowNanos() - run.startedNanos) / 1e9 * run.cpuMillicores / 1000.0;
+            if (interferenceFactor != 1) {
+                updateInterference();
+            }
             endListener.accept(task, outcome);
         }
     }
--- a/src/main/java/org/gypsumflow/command/ActiveJob.java
+++ b/src/main/java/org/gypsumflow/command/ActiveJob.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.gypsumflow.command.EndingJobs.UnendedRun;
 import org.gypsumflow.model.BestEffortJob;
+import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.BestEffortOutcome;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.MemberName;
@@ -42,6 +44,7 @@
         private MemberName agent;
         private int failureCount;
         private Duration runDuration;
+        private RunSurroundings surroundings;
         private long reassignAtNanos;
 
         private Task(RunNumber firstRunNumber) {
@@ -173,9 +176,10 @@
         return current ? Optional.of(tasks[index].agent) : Optional.empty();
     }
 
-    void recordSuccess(int index, Duration runDuration) {
+    void recordSuccess(int index, RunResult result) {
         tasks[index].state = AssignmentState.DONE;
-        tasks[index].runDuration = runDuration;
+        tasks[index].runDuration = result.runDuration();
+        tasks[index].surroundings = result.surroundings();
         hasRun = true;
         doneCount++;
     }
@@ -190,7 +194,7 @@
         List<WorkerSpeedEstimator.Sample> runs = new ArrayList<>();
         for (Task task : tasks) {
             if (task.state == AssignmentState.DONE) {
-                runs.add(new WorkerSpeedEstimator.Sample(task.agent, task.runDuration));
+                runs.add(new WorkerSpeedEstimator.Sample(task.agent, task.runDuration, task.surroundings));
             }
         }
         return runs;
--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -7,16 +7,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.gypsumflow.command.interference.NeighbourTracker;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.BestEffortMessage.TaskAssignment;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.JobId;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.RunOutcome;
 import org.gypsumflow.model.WorkerReport;
@@ -130,6 +134,7 @@
 
     private final Map<BestEffortTaskId, TrackedAssignment> assignments = new HashMap<>();
     private final RunStatistics statistics = RunStatistics.create();
+    private final Optional<NeighbourTracker> neighbours;
     private WorkerReport worker;
     private Set<AvailabilityZone> closedZones = Set.of();
     private boolean draining;
@@ -137,7 +142,9 @@
     private boolean startsAllowed = true;
     private Actions actions = noActions();
 
-    private AgentScheduler() {}
+    private AgentScheduler(Optional<NeighbourTracker> neighbours) {
+        this.neighbours = neighbours;
+    }
 
     /**
      * Creates a scheduler that knows no worker and has no assignments.
@@ -145,7 +152,17 @@
      * @return the scheduler
      */
     public static AgentScheduler create() {
-        return new AgentScheduler();
+        return new AgentScheduler(Optional.empty());
+    }
+
+    /**
+     * Creates a scheduler that also tells which kinds of tasks ran beside each other.
+     *
+     * @param neighbours tracker of a worker without runs
+     * @return the scheduler
+     */
+    public static AgentScheduler create(NeighbourTracker neighbours) {
+        return new AgentScheduler(Optional.of(neighbours));
     }
 
     /**
@@ -616,6 +633,15 @@
                 activeRunCount());
     }
 
+    /**
+     * Returns what the runs of each route take of the worker at present.
+     *
+     * @return thousandths of a core by route; empty if the scheduler does not track neighbours
+     */
+    public Map<RouteName, Integer> runningMillicores() {
+        return neighbours.map(NeighbourTracker::runningMillicores).orElseGet(Map::of);
+    }
+
     /** Returns whether a task would start immediately: waiting ones with less slack go first, others are overtaken. */
     private boolean canStartNow(TrackedAssignment arrived, long nowNanos) {
         Resources ahead = totalResources(
@@ -642,6 +668,11 @@
             free = free.minus(tracked.assignment.resources());
             tracked.status = Status.STARTING;
             tracked.startedNanos = nowNanos;
+            neighbours.ifPresent(tracker -> tracker.runStarted(
+                    tracked.assignment.task(),
+                    tracked.assignment.route(),
+                    tracked.assignment.resources().cpuMillicores(),
+                    nowNanos));
             actions.runsToStart()
                     .add(new TaskRun(tracked.assignment.task(), tracked.runNumber, tracked.assignment.specification()));
         }
@@ -701,11 +732,24 @@
 
     private void addResult(TrackedAssignment tracked, RunOutcome outcome, Duration runDuration) {
         TaskAssignment assignment = tracked.assignment;
-        RunResult result = new RunResult(assignment.task(), assignment.runNumber(), outcome, runDuration);
+        RunResult result = new RunResult(
+                assignment.task(), assignment.runNumber(), outcome, runDuration, surroundings(tracked, runDuration));
         actions.finishedAssignments()
                 .add(new FinishedAssignment(tracked.owner, result, assignment.estimate(), tracked.queueTime()));
     }
 
+    private RunSurroundings surroundings(TrackedAssignment tracked, Duration runDuration) {
+        if (neighbours.isEmpty() || !tracked.occupiesWorker()) {
+            return RunSurroundings.UNKNOWN;
+        }
+        return neighbours
+                .get()
+                .runEnded(
+                        tracked.assignment.task(),
+                        worker.capacity().cpuMillicores(),
+                        tracked.startedNanos + runDuration.toNanos());
+    }
+
     private TrackedAssignment findRun(BestEffortTaskId task, RunNumber runNumber) {
         TrackedAssignment tracked = assignments.get(task);
         boolean current = tracked != null && tracked.occupiesWorker() && tracked.runNumber.equals(runNumber);
--- a/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
+++ b/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
@@ -39,10 +39,12 @@
         private final double maxWaitMillis;
         private Resources usable;
         private double waitMillis;
+        private double interferenceFactor;
 
         private WorkerOption(PlacementRequest request, Candidate candidate, double healthySlowdown) {
             this.candidate = candidate;
             this.resources = request.resourcesPerTask();
+            this.interferenceFactor = candidate.interference().first();
             double slowdown = candidate.slowdown();
             double estimateMillis = request.estimate().toMillis();
             this.runMillis = estimateMillis * slowdown;
@@ -72,6 +74,7 @@
 
         private void addTask() {
             setUsable(usable.minus(resources));
+            interferenceFactor = candidate.interference().further();
         }
 
         private void setUsable(Resources available) {
@@ -93,6 +96,14 @@
             return OVERHEAD.toMillis() + WAIT_SAFETY_FACTOR * waitMillis + runMillis;
         }
 
+        /**
+         * Returns the cost by which workers are compared: the expected finish, and the time that kinds which disturb each
+         * other lose beside each other. That time never makes a task late, so that no job is rejected for it.
+         */
+        private double costMillis() {
+            return finishMillis() + (interferenceFactor - 1) * runMillis;
+        }
+
         private boolean finishesInTime() {
             return waitMillis <= maxWaitMillis;
         }
@@ -103,8 +114,8 @@
         }
 
         private boolean finishesEarlierThan(WorkerOption other) {
-            double difference = Math.floor(finishMillis() / FINISH_TIME_RESOLUTION_MILLIS)
-                    - Math.floor(other.finishMillis() / FINISH_TIME_RESOLUTION_MILLIS);
+            double difference = Math.floor(costMillis() / FINISH_TIME_RESOLUTION_MILLIS)
+                    - Math.floor(other.costMillis() / FINISH_TIME_RESOLUTION_MILLIS);
             return difference < 0 || (difference == 0 && freeShare() > other.freeShare());
         }
     }
--- a/src/main/java/org/gypsumflow/command/JobDispatcher.java
+++ b/src/main/java/org/gypsumflow/command/JobDispatcher.java
@@ -16,6 +16,7 @@
 import org.gypsumflow.command.JobPlacementPolicy.PlacementRequest;
 import org.gypsumflow.command.WorkerCapacityTracker.Candidate;
 import org.gypsumflow.command.WorkerSpeedEstimator.Sample;
+import org.gypsumflow.command.interference.Interference;
 import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
@@ -243,6 +244,7 @@
             applyResult(agent, result, nowNanos).ifPresent(affected::add);
         }
         capacityTracker.updateWorker(agent, report.workerStatus());
+        capacityTracker.updateRunning(agent, report.runningMillicores());
         endingJobs.runDueListeners();
         affected.stream().distinct().forEach(activeJob -> place(activeJob, nowNanos));
         retryWaitingJobs(nowNanos);
@@ -273,6 +275,7 @@
         latestNanos = nowNanos;
         endingJobs.tick(nowNanos);
         endingJobs.runDueListeners();
+        capacityTracker.tick(nowNanos);
         retryWaitingJobs(nowNanos);
         for (ActiveJob activeJob : List.copyOf(jobs.values())) {
             if (nowNanos - activeJob.deadlineNanos() >= 0) {
@@ -308,9 +311,10 @@
         if (activeJob == null || !activeJob.agentOf(index, result.runNumber()).equals(Optional.of(agent))) {
             return Optional.empty();
         }
-        capacityTracker.releaseAssignment(agent, activeJob.job().resourcesPerTask());
+        capacityTracker.releaseAssignment(
+                agent, activeJob.job().route().name(), activeJob.job().resourcesPerTask());
         switch (result.outcome()) {
-            case DONE -> activeJob.recordSuccess(index, result.runDuration());
+            case DONE -> activeJob.recordSuccess(index, result);
             case FAILED -> recordFailure(activeJob, index);
             case LOST -> activeJob.recordLost(index);
             case NOT_STARTED -> activeJob.recordNotStarted(index);
@@ -321,7 +325,10 @@
         }
         if (activeJob.isComplete()) {
             capacityTracker.recordCompletedJob(
-                    activeJob.completedRuns(), activeJob.job().estimate(), nowNanos);
+                    activeJob.job().route().name(),
+                    activeJob.completedRuns(),
+                    activeJob.job().estimate(),
+                    nowNanos);
             logCompletion(activeJob, nowNanos);
             finish(activeJob, BestEffortOutcome.completed());
         }
@@ -381,8 +388,7 @@
             waitingJobs.putIfAbsent(job.id(), activeJob);
             return;
         }
-        Collection<Candidate> candidates =
-                capacityTracker.candidates(job.route().service(), nowNanos);
+        Collection<Candidate> candidates = capacityTracker.candidates(job, nowNanos);
         boolean workersExpected = areWorkersExpected(job.route().service(), candidates, nowNanos);
         PlacementRequest request = new PlacementRequest(
                 waiting.size(),
@@ -396,6 +402,7 @@
         List<Placement> placements = placementPolicy.choose(request, candidates);
         if (!placements.isEmpty()) {
             waitingJobs.remove(job.id());
+            countIfChangedByInterference(job, request, candidates, placements);
             assign(activeJob, waiting, placements, nowNanos);
         } else if (isTooLarge(job, candidates)) {
             abandon(activeJob, "no worker is large enough for a task of the job");
@@ -410,6 +417,28 @@
         }
     }
 
+    /** Chooses once more without interference, only if some worker has any, to count the difference. */
+    private void countIfChangedByInterference(
+            BestEffortJob job, PlacementRequest request, Collection<Candidate> candidates, List<Placement> placements) {
+        if (candidates.stream().allMatch(candidate -> candidate.interference().equals(Interference.NONE))) {
+            return;
+        }
+        List<MemberName> otherwise = new ArrayList<>(
+                placementPolicy
+                        .choose(
+                                request,
+                                candidates.stream()
+                                        .map(Candidate::withoutInterference)
+                                        .toList())
+                        .stream()
+                        .map(Placement::agent)
+                        .toList());
+        placements.forEach(placement -> otherwise.remove(placement.agent()));
+        if (!otherwise.isEmpty()) {
+            capacityTracker.recordChangedPlacement(job.route().name(), otherwise);
+        }
+    }
+
     /**
      * Returns whether a job may wait for capacity.
      *
@@ -480,7 +509,7 @@
             int index = waiting.get(position);
             MemberName agent = placements.get(position).agent();
             activeJob.assign(index, agent);
-            capacityTracker.recordAssignment(agent, job.resourcesPerTask());
+            capacityTracker.recordAssignment(agent, job.route().name(), job.resourcesPerTask());
             assignments
                     .computeIfAbsent(agent, name -> new ArrayList<>())
                     .add(new TaskAssignment(
@@ -538,7 +567,9 @@
             activeJob
                     .tasksAssignedTo(agent)
                     .forEach(index -> capacityTracker.releaseAssignment(
-                            agent, activeJob.job().resourcesPerTask()));
+                            agent,
+                            activeJob.job().route().name(),
+                            activeJob.job().resourcesPerTask()));
             agentClient.stopper().stop(agent, activeJob.job().id(), indexes);
         });
         observer.outcomeDecided(activeJob.job().route().name(), outcome, activeJob.age(latestNanos));
--- a/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
+++ b/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
@@ -2,15 +2,23 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.gypsumflow.command.WorkerSpeedEstimator.Sample;
+import org.gypsumflow.command.interference.Interference;
+import org.gypsumflow.command.interference.InterferenceModel;
+import org.gypsumflow.command.interference.RunObservation;
 import org.gypsumflow.model.AvailabilityZone;
+import org.gypsumflow.model.BestEffortJob;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
+import org.gypsumflow.model.RouteName;
 import org.gypsumflow.model.ServiceName;
 
 /**
@@ -28,20 +36,48 @@
      *     than fits
      * @param idle capacity left after running and urgent tasks, for a task that overtakes waiting ones; may be negative
      * @param slowdown run duration of its tasks as a multiple of their estimates, 1.0 if they agree
+     * @param interference cost of a task beside the kinds that run there
      */
     public record Candidate(
-            MemberName agent, WorkerStatus reportedStatus, Resources uncommitted, Resources idle, double slowdown) {}
+            MemberName agent,
+            WorkerStatus reportedStatus,
+            Resources uncommitted,
+            Resources idle,
+            double slowdown,
+            Interference interference) {
+        /**
+         * Returns the worker as if no kinds disturbed each other.
+         *
+         * @return a copy without interference
+         */
+        Candidate withoutInterference() {
+            return new Candidate(agent, reportedStatus, uncommitted, idle, slowdown, Interference.NONE);
+        }
+    }
 
     private static final class TrackedWorker {
         private WorkerStatus status;
         private Resources assigned = Resources.NONE;
+        private Map<RouteName, Integer> reportedRunning = Map.of();
+        private final Map<RouteName, Integer> assignedByRoute = new HashMap<>();
+
+        /** Returns what runs there: what the agent told, and what this entry has assigned there and may start soon. */
+        private Map<RouteName, Integer> running() {
+            Map<RouteName, Integer> running = new HashMap<>(reportedRunning);
+            assignedByRoute.forEach((route, millicores) -> running.merge(route, millicores, Math::max));
+            return running;
+        }
     }
 
     private final Map<MemberName, TrackedWorker> workers = new HashMap<>();
     private final WorkerSpeedEstimator speedEstimator = WorkerSpeedEstimator.create();
     private Set<AvailabilityZone> closedZones = Set.of();
 
-    private WorkerCapacityTracker() {}
+    private final InterferenceModel interferenceModel;
+
+    private WorkerCapacityTracker(InterferenceModel interferenceModel) {
+        this.interferenceModel = interferenceModel;
+    }
 
     /**
      * Creates a tracker that knows no workers.
@@ -49,7 +85,17 @@
      * @return the tracker
      */
     public static WorkerCapacityTracker create() {
-        return new WorkerCapacityTracker();
+        return create(InterferenceModel.disabled());
+    }
+
+    /**
+     * Creates a tracker that knows no workers.
+     *
+     * @param interferenceModel learns from completed jobs which kinds of tasks slow each other down
+     * @return the tracker
+     */
+    public static WorkerCapacityTracker create(InterferenceModel interferenceModel) {
+        return new WorkerCapacityTracker(interferenceModel);
     }
 
     /**
@@ -62,6 +108,16 @@
         workers.computeIfAbsent(agent, name -> new TrackedWorker()).status = status;
     }
 
+    /**
+     * Replaces what the runs of each route take of a worker; ignored if the worker is unknown.
+     *
+     * @param agent agent that sent the report
+     * @param runningMillicores thousandths of a core by route, of the tasks of all entries
+     */
+    void updateRunning(MemberName agent, Map<RouteName, Integer> runningMillicores) {
+        find(agent).ifPresent(worker -> worker.reportedRunning = runningMillicores);
+    }
+
     /**
      * Removes a worker with what is known of its speed.
      *
@@ -85,45 +141,105 @@
      * Reserves resources for a task that this entry assigns; ignored if the worker is unknown.
      *
      * @param agent agent that the task is assigned to
+     * @param route route of its job
      * @param resources resources of the task
      */
-    public void recordAssignment(MemberName agent, Resources resources) {
-        find(agent).ifPresent(worker -> worker.assigned = worker.assigned.plus(resources));
+    public void recordAssignment(MemberName agent, RouteName route, Resources resources) {
+        find(agent).ifPresent(worker -> {
+            worker.assigned = worker.assigned.plus(resources);
+            worker.assignedByRoute.merge(route, resources.cpuMillicores(), Integer::sum);
+        });
     }
 
     /**
      * Releases the resources of a task that finished or is being stopped; ignored if the worker is unknown.
      *
      * @param agent agent that the task was assigned to
+     * @param route route of its job
      * @param resources resources of the task
      */
-    public void releaseAssignment(MemberName agent, Resources resources) {
-        find(agent).ifPresent(worker -> worker.assigned = worker.assigned.minus(resources));
+    public void releaseAssignment(MemberName agent, RouteName route, Resources resources) {
+        find(agent).ifPresent(worker -> {
+            worker.assigned = worker.assigned.minus(resources);
+            worker.assignedByRoute.computeIfPresent(route, (name, millicores) -> {
+                int left = millicores - resources.cpuMillicores();
+                return left > 0 ? left : null;
+            });
+        });
     }
 
     /**
-     * Updates the speeds of the workers that ran the tasks of a completed job.
+     * Updates the speeds of the workers that ran the tasks of a completed job, and what is known of the kinds beside
+     * which they ran.
      *
+     * @param route route of the job
      * @param runs one run for each task
      * @param estimate estimated run duration of one task
      * @param nowNanos current monotonic time
      */
-    void recordCompletedJob(List<WorkerSpeedEstimator.Sample> runs, Duration estimate, long nowNanos) {
-        speedEstimator.recordCompletedJob(runs, estimate, nowNanos);
+    void recordCompletedJob(RouteName route, List<Sample> runs, Duration estimate, long nowNanos) {
+        interferenceModel.recordCompletedJob(route, observations(runs, nowNanos), nowNanos);
+        speedEstimator.recordCompletedJob(
+                runs.stream().map(run -> undisturbed(route, run)).toList(), estimate, nowNanos);
+    }
+
+    private List<RunObservation> observations(List<Sample> runs, long nowNanos) {
+        List<RunObservation> observations = new ArrayList<>();
+        for (Sample run : runs) {
+            speedEstimator.comparedLogSlowdown(run.agent(), nowNanos).ifPresent(logSlowdown -> {
+                double logDuration =
+                        Math.log((double) Math.max(1, run.runDuration().toNanos()));
+                observations.add(new RunObservation(logDuration - logSlowdown, run.surroundings()));
+            });
+        }
+        return observations;
+    }
+
+    /** Takes the effect of neighbours out of a run duration, so that it does not count as slowness of the worker. */
+    private Sample undisturbed(RouteName route, Sample run) {
+        double factor = interferenceModel.expectedFactor(route, run.surroundings());
+        if (factor == 1) {
+            return run;
+        }
+        double nanos = (double) run.runDuration().toNanos() / factor;
+        return new Sample(run.agent(), Duration.ofNanos((long) nanos), run.surroundings());
+    }
+
+    /**
+     * Forgets effects of neighbours whose evidence has become old.
+     *
+     * @param nowNanos current monotonic time
+     */
+    void tick(long nowNanos) {
+        interferenceModel.tick(nowNanos);
+    }
+
+    /**
+     * Counts a job that was placed otherwise because kinds of tasks disturb each other.
+     *
+     * @param route route of the job
+     * @param avoidedAgents agents whose workers it would have got otherwise
+     */
+    void recordChangedPlacement(RouteName route, Collection<MemberName> avoidedAgents) {
+        Set<RouteName> avoided = new HashSet<>();
+        avoidedAgents.forEach(agent ->
+                find(agent).ifPresent(worker -> avoided.addAll(worker.running().keySet())));
+        interferenceModel.recordChangedPlacement(route, avoided);
     }
 
     /**
      * Lists the workers on which tasks of a service may be placed.
      *
-     * @param service service of the job
+     * @param job the job whose tasks are to be placed
      * @param nowNanos current monotonic time
      * @return workers of the service that accept tasks in zones that are not closed, full ones included; may be empty
      */
-    public List<Candidate> candidates(ServiceName service, long nowNanos) {
+    public List<Candidate> candidates(BestEffortJob job, long nowNanos) {
         List<Candidate> candidates = new ArrayList<>();
         workers.forEach((agent, worker) -> {
-            if (worker.status != null && acceptsTasksOf(worker.status, service)) {
-                candidates.add(candidate(agent, worker, nowNanos));
+            if (worker.status != null
+                    && acceptsTasksOf(worker.status, job.route().service())) {
+                candidates.add(candidate(agent, worker, job, nowNanos));
             }
         });
         return candidates;
@@ -144,7 +260,7 @@
                 && closedZones.stream().noneMatch(zone -> zone.value().equals(status.zone()));
     }
 
-    private Candidate candidate(MemberName agent, TrackedWorker worker, long nowNanos) {
+    private Candidate candidate(MemberName agent, TrackedWorker worker, BestEffortJob job, long nowNanos) {
         double slowdown = speedEstimator.slowdown(agent, worker.status.slowdown(), nowNanos);
         Resources unreported = worker.assigned.minus(worker.status.assignedByReceiver());
         return new Candidate(
@@ -152,7 +268,15 @@
                 worker.status,
                 worker.status.uncommitted().minus(unreported),
                 worker.status.idle().minus(unreported),
-                Math.max(slowdown, worker.status.overdueSlowdown()));
+                Math.max(slowdown, worker.status.overdueSlowdown()),
+                interference(worker, job));
+    }
+
+    private Interference interference(TrackedWorker worker, BestEffortJob job) {
+        return interferenceModel.hasBeliefs()
+                ? interferenceModel.interference(
+                        job.route().name(), job.resourcesPerTask().cpuMillicores(), worker.running())
+                : Interference.NONE;
     }
 
     private Optional<TrackedWorker> find(MemberName agent) {
--- a/src/main/java/org/gypsumflow/command/WorkerSpeedEstimator.java
+++ b/src/main/java/org/gypsumflow/command/WorkerSpeedEstimator.java
@@ -5,7 +5,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
+import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.MemberName;
 
 /**
@@ -24,6 +26,8 @@
     private static final double ESTIMATE_BIAS_WEIGHT = 0.005;
     /** Time without runs in which the recent slowdown returns halfway to the long-term one, to try a worker again. */
     private static final Duration RECOVERY_HALF_LIFE = Duration.ofMillis(1500);
+    /** Runs after which the slowdown of a worker is known about as exactly as it will ever be. */
+    private static final int MIN_COMPARED_RUNS = 10;
     /** Maximum deviation taken from one run, as a natural logarithm, so that a single hang counts no more than that. */
     private static final double MAX_DEVIATION = 2;
 
@@ -32,8 +36,9 @@
      *
      * @param agent agent of the worker
      * @param runDuration how long the run took
+     * @param surroundings what ran beside it
      */
-    record Sample(MemberName agent, Duration runDuration) {}
+    record Sample(MemberName agent, Duration runDuration, RunSurroundings surroundings) {}
 
     /** Slowdown of one worker relative to the common bias of the estimates, as natural logarithms. */
     private static final class Speed {
@@ -103,6 +108,14 @@
         return speed == null ? reportedSlowdown : Math.exp(speed.logSlowdownAt(nowNanos) + estimateBias);
     }
 
+    /** Returns the natural logarithm of a worker's slowdown relative to the others, empty if too few runs tell it. */
+    OptionalDouble comparedLogSlowdown(MemberName agent, long nowNanos) {
+        Speed speed = speeds.get(agent);
+        return speed == null || speed.runCount < MIN_COMPARED_RUNS
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(speed.logSlowdownAt(nowNanos));
+    }
+
     void remove(MemberName agent) {
         speeds.remove(agent);
     }
--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -3,12 +3,15 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.MemberDiscovery;
 import org.gypsumflow.control.RoutingStateCache;
@@ -51,6 +54,7 @@
     private final SerialExecutor controlExecutor;
     private final SerialExecutor trafficExecutor;
     private final CompactedLog store;
+    private final Map<String, Supplier<CompletableFuture<?>>> queries = new HashMap<>();
     private ConnectionManager connectionManager;
     private MemberDiscovery memberDiscovery;
 
@@ -189,12 +193,20 @@
             memberDiscovery.watchMembers(this::peersDiscovered);
         }
         startServing();
-        settings.metricsAddress().ifPresent(address -> httpServer.bind(address, this::scrape));
+        settings.metricsAddress().ifPresent(address -> httpServer.bind(address, this::serveOperator));
         events.write(Event.STARTED, self.name(), incarnation, self.zone());
     }
 
-    private CompletableFuture<ServerResponse> scrape(ServerRequest request) {
-        return CompletableFuture.completedFuture(ServerResponse.text(OK, metrics.scrape()));
+    /** Serves an operator's query at the metrics address, as JSON; called before the daemon starts. */
+    void addQuery(String path, Supplier<CompletableFuture<?>> query) {
+        queries.put(path, query);
+    }
+
+    private CompletableFuture<ServerResponse> serveOperator(ServerRequest request) {
+        Supplier<CompletableFuture<?>> query = queries.get(request.path());
+        return query == null
+                ? CompletableFuture.completedFuture(ServerResponse.text(OK, metrics.scrape()))
+                : query.get().thenApply(content -> ServerResponse.json(OK, content));
     }
 
     private SerialExecutor createExecutor(String name) {
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -12,6 +12,7 @@
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
 import org.gypsumflow.platform.ReadinessResource;
+import org.gypsumflow.query.InterferenceQuery;
 import org.gypsumflow.traffic.BestEffortEntry;
 
 /** Entry daemon for best-effort jobs. */
@@ -36,6 +37,10 @@
                 metrics()::recordOutcome,
                 settings.features(),
                 metrics()::countDecision);
+        if (settings.features().interferenceAvoidance()) {
+            metrics().addGauge("interference.believed.pairs", entry::believedPairCount);
+            addQuery("/interference", () -> entry.interferingPairs().thenApply(InterferenceQuery::rows));
+        }
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -102,19 +103,75 @@
      * @param runNumber number of the run
      * @param outcome how the run ended
      * @param runDuration how long the task ran, zero if it did not start
+     * @param surroundings what ran beside it
      */
-    record RunResult(BestEffortTaskId task, RunNumber runNumber, RunOutcome outcome, Duration runDuration) {}
+    record RunResult(
+            BestEffortTaskId task,
+            RunNumber runNumber,
+            RunOutcome outcome,
+            Duration runDuration,
+            RunSurroundings surroundings) {
+        /**
+         * Creates the result of a run whose surroundings are unknown.
+         *
+         * @param task id of the task
+         * @param runNumber number of the run
+         * @param outcome how the run ended
+         * @param runDuration how long the task ran, zero if it did not start
+         */
+        public RunResult(BestEffortTaskId task, RunNumber runNumber, RunOutcome outcome, Duration runDuration) {
+            this(task, runNumber, outcome, runDuration, RunSurroundings.UNKNOWN);
+        }
+    }
+
+    /**
+     * What ran beside a run on its worker.
+     *
+     * @param neighbours the routes of the other runs, those that overlapped it most
+     * @param occupiedShare mean share of the worker that was taken during the run, its own part included, 0.0 to 1.0
+     */
+    record RunSurroundings(List<Neighbour> neighbours, float occupiedShare) {
+        /** Stands for surroundings that the agent did not observe. */
+        public static final RunSurroundings UNKNOWN = new RunSurroundings(List.of(), 0);
+
+        /** Makes an unmodifiable copy of the list. */
+        public RunSurroundings {
+            neighbours = List.copyOf(neighbours);
+        }
+    }
+
+    /**
+     * A route of which at least one run overlapped another run on the same worker.
+     *
+     * @param route the route
+     * @param overlapShare share of the other run's time during which one was present, 0.0 to 1.0
+     */
+    record Neighbour(RouteName route, float overlapShare) {}
 
     /**
      * Reports to an entry the results of its task assignments and the status of the agent's worker.
      *
      * @param results results of the assignments that ended since the last report; may be empty
      * @param workerStatus status of the worker; accepts no tasks while no worker is registered
+     * @param runningMillicores what the runs of each route take of the worker, in thousandths of a core; empty if the
+     *     agent does not tell
      */
-    record AgentReport(List<RunResult> results, WorkerStatus workerStatus) implements BestEffortMessage {
-        /** Makes an unmodifiable copy of the list. */
+    record AgentReport(List<RunResult> results, WorkerStatus workerStatus, Map<RouteName, Integer> runningMillicores)
+            implements BestEffortMessage {
+        /** Makes unmodifiable copies of the collections. */
         public AgentReport {
             results = List.copyOf(results);
+            runningMillicores = Map.copyOf(runningMillicores);
+        }
+
+        /**
+         * Creates a report that does not tell what the routes take.
+         *
+         * @param results results of the assignments that ended since the last report; may be empty
+         * @param workerStatus status of the worker
+         */
+        public AgentReport(List<RunResult> results, WorkerStatus workerStatus) {
+            this(results, workerStatus, Map.of());
         }
     }
 
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,24 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** Tasks of two routes slow each other down on one worker. */
+    INTERFERENCE_FOUND(
+            670,
+            Level.INFO,
+            "tasks of route {} run {} times as long beside tasks of route {}, and are kept apart where there is"
+                    + " room: {} runs beside them, {} apart"),
+    /** Tasks of two routes are not kept apart any more. */
+    INTERFERENCE_ENDED(
+            671,
+            Level.INFO,
+            "tasks of route {} are not kept apart from those of route {} any more: factor {}, {} jobs placed otherwise"
+                    + " meanwhile, {}"),
+    /** What was known of two routes made room for routes that run more often. */
+    INTERFERENCE_FORGOTTEN(
+            672,
+            Level.INFO,
+            "tasks of route {} are not kept apart from those of route {} any more: others run more often;"
+                    + " {} jobs placed otherwise meanwhile"),
     /** An internal error occurred. */
     INTERNAL_ERROR(900, Level.ERROR, "internal error in {}: {}");
 
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.DecisionCounter;
 import org.gypsumflow.command.DispatchFeatures;
+import org.gypsumflow.command.interference.NeighbourTracker;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -114,7 +115,7 @@
     private final RoutingStateCache routingState;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
-    private final AgentScheduler scheduler = AgentScheduler.create();
+    private final AgentScheduler scheduler;
     private final PauseDetector pauseDetector;
     private final WorkerSession workerSession;
     private final Map<MemberName, ConnectedEntry> entries = new HashMap<>();
@@ -134,6 +135,9 @@
             DecisionCounter counter) {
         this.features = features;
         this.counter = counter;
+        this.scheduler = features.interferenceAvoidance()
+                ? AgentScheduler.create(NeighbourTracker.create())
+                : AgentScheduler.create();
         this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
         this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
         this.time = time;
@@ -504,6 +508,6 @@
     private void sendReport(ConnectedEntry entry, List<RunResult> results, WorkerStatus status) {
         entry.lastStatus = status;
         entry.lastReportNanos = time.nanoTime();
-        entry.connection.send(new AgentReport(results, status));
+        entry.connection.send(new AgentReport(results, status, scheduler.runningMillicores()));
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -16,6 +16,8 @@
 import org.gypsumflow.command.JobOwnerCache;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.interference.InterferenceModel;
+import org.gypsumflow.command.interference.InterferingPair;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -62,7 +64,8 @@
     private final Map<MemberName, Connection> agents = new HashMap<>();
     private final PeerPaths peers;
     private final JobBarrier barrier;
-    private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
+    private final InterferenceModel interferenceModel;
+    private final WorkerCapacityTracker capacityTracker;
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final JobHandovers handovers;
     private final JobAnnouncements announcements;
@@ -93,6 +96,10 @@
         this.observer = observer;
         this.features = features;
         this.counter = counter;
+        this.interferenceModel = features.interferenceAvoidance()
+                ? InterferenceModel.create(events, counter)
+                : InterferenceModel.disabled();
+        this.capacityTracker = WorkerCapacityTracker.create(interferenceModel);
         this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
@@ -384,6 +391,26 @@
         return connectedAgentCount > 0;
     }
 
+    /**
+     * Returns the kinds of tasks that were seen beside each other, with their effect on each other.
+     *
+     * @return the pairs, in any order; none if interference avoidance is off
+     */
+    public CompletableFuture<List<InterferingPair>> interferingPairs() {
+        CompletableFuture<List<InterferingPair>> pairs = new CompletableFuture<>();
+        executor.execute(() -> pairs.complete(interferenceModel.pairs(time.nanoTime())));
+        return pairs;
+    }
+
+    /**
+     * Returns the number of ordered pairs of kinds that placement keeps apart.
+     *
+     * @return number of pairs, as of the last change
+     */
+    public int believedPairCount() {
+        return interferenceModel.believedCount();
+    }
+
     /** Applies the latest closed zones, whose workers get no new tasks. */
     public void closedZonesChanged() {
         executor.execute(() -> capacityTracker.setClosedZones(
--- a/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
+++ b/src/main/java/org/gypsumflow/wire/BestEffortCodec.java
@@ -2,9 +2,12 @@
 
 import io.netty.util.NetUtil;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.gypsumflow.model.AvailabilityZone;
@@ -18,10 +21,12 @@
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
+import org.gypsumflow.model.BestEffortMessage.Neighbour;
 import org.gypsumflow.model.BestEffortMessage.PeerMessage;
 import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RequestJobs;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
@@ -42,6 +47,7 @@
 import org.gypsumflow.model.ServiceName;
 import org.gypsumflow.model.ValidationException;
 import org.gypsumflow.wire.generated.AmountPart;
+import org.gypsumflow.wire.generated.DemandPart;
 import org.gypsumflow.wire.generated.EndedPart;
 import org.gypsumflow.wire.generated.EndingPart;
 import org.gypsumflow.wire.generated.Envelope;
@@ -286,15 +292,15 @@
 
     private static org.gypsumflow.wire.generated.AgentReport encode(AgentReport report) {
         org.gypsumflow.wire.generated.AgentReport.Builder part = org.gypsumflow.wire.generated.AgentReport.newBuilder();
-        report.results()
-                .forEach(result -> part.addEnded(EndedPart.newBuilder()
-                        .setJob(encode(result.task().job()))
-                        .setIndex(result.task().index())
-                        .setRun(result.runNumber().value())
-                        .setEnding(EndingPart.valueOf(result.outcome().name()))
-                        .setRanMicros(result.runDuration().toNanos() / NANOS_PER_MICRO)));
+        List<RouteName> routes = report.results().stream()
+                .flatMap(result -> result.surroundings().neighbours().stream())
+                .map(Neighbour::route)
+                .distinct()
+                .toList();
+        routes.forEach(route -> part.addRoutes(route.value()));
+        report.results().forEach(result -> part.addEnded(encode(result, routes)));
         WorkerStatus status = report.workerStatus();
-        part.setRoom(RoomPart.newBuilder()
+        RoomPart.Builder room = RoomPart.newBuilder()
                 .setOpen(status.acceptsTasks())
                 .setService(status.service())
                 .setZone(status.zone())
@@ -306,18 +312,66 @@
                 .setSlowness((float) status.slowdown())
                 .setOverdue((float) status.overdueSlowdown())
                 .setFailing((float) status.failureRate())
-                .setRunning(status.runningTasks()));
-        return part.build();
+                .setRunning(status.runningTasks());
+        report.runningMillicores()
+                .forEach((route, millicores) -> room.addDemand(
+                        DemandPart.newBuilder().setRoute(route.value()).setRunningMillis(millicores)));
+        return part.setRoom(room).build();
+    }
+
+    private static EndedPart.Builder encode(RunResult result, List<RouteName> routes) {
+        EndedPart.Builder part = EndedPart.newBuilder()
+                .setJob(encode(result.task().job()))
+                .setIndex(result.task().index())
+                .setRun(result.runNumber().value())
+                .setEnding(EndingPart.valueOf(result.outcome().name()))
+                .setRanMicros(result.runDuration().toNanos() / NANOS_PER_MICRO)
+                .setOccupiedShare(result.surroundings().occupiedShare());
+        result.surroundings().neighbours().forEach(neighbour -> part.addNeighbours(routes.indexOf(neighbour.route()))
+                .addNeighbourShares(neighbour.overlapShare()));
+        return part;
+    }
+
+    private static RunSurroundings decodeSurroundings(EndedPart part, List<RouteName> routes) {
+        Check.isTrue(
+                part.getNeighboursCount() == part.getNeighbourSharesCount(),
+                "neighbours",
+                "must be as many as their shares");
+        List<Neighbour> neighbours = new ArrayList<>();
+        for (int index = 0; index < part.getNeighboursCount(); index++) {
+            int position = part.getNeighbours(index);
+            Check.range("neighbours", position, 0, routes.size() - 1);
+            neighbours.add(new Neighbour(routes.get(position), share(part.getNeighbourShares(index))));
+        }
+        return new RunSurroundings(neighbours, share(part.getOccupiedShare()));
+    }
+
+    /** Checks a share, which enters estimates that one invalid value would spoil. */
+    private static float share(float value) {
+        Check.isTrue(value >= 0 && value <= 1, "share", "is " + value + ", but must be between 0 and 1");
+        return value;
+    }
+
+    /** Adds up what the parts of a route take, which a sender may tell for each zone of callers. */
+    private static Map<RouteName, Integer> decodeRunning(List<DemandPart> parts) {
+        Map<RouteName, Integer> running = new HashMap<>();
+        parts.stream()
+                .filter(part -> !part.getRoute().isEmpty() && part.getRunningMillis() > 0)
+                .forEach(part -> running.merge(RouteName.of(part.getRoute()), part.getRunningMillis(), Integer::sum));
+        return running;
     }
 
     private static AgentReport decode(org.gypsumflow.wire.generated.AgentReport part) {
         RoomPart status = part.getRoom();
+        List<RouteName> routes =
+                part.getRoutesList().stream().map(RouteName::of).toList();
         List<RunResult> results = part.getEndedList().stream()
                 .map(endedPart -> new RunResult(
                         BestEffortTaskId.of(decodeJob(endedPart.getJob()), endedPart.getIndex()),
                         RunNumber.of(endedPart.getRun()),
                         decodeOutcome(endedPart.getEnding()),
-                        Duration.ofNanos(endedPart.getRanMicros() * NANOS_PER_MICRO)))
+                        Duration.ofNanos(endedPart.getRanMicros() * NANOS_PER_MICRO),
+                        decodeSurroundings(endedPart, routes)))
                 .toList();
         return new AgentReport(
                 results,
@@ -333,7 +387,8 @@
                         status.getSlowness(),
                         status.getOverdue(),
                         status.getFailing(),
-                        status.getRunning()));
+                        status.getRunning()),
+                decodeRunning(status.getDemandList()));
     }
 
     private static RunOutcome decodeOutcome(EndingPart part) {
--- a/src/test/java/org/gypsumflow/command/EarliestFinishPlacementTest.java
+++ b/src/test/java/org/gypsumflow/command/EarliestFinishPlacementTest.java
@@ -9,6 +9,7 @@
 import org.gypsumflow.command.JobPlacementPolicy.Placement;
 import org.gypsumflow.command.JobPlacementPolicy.PlacementRequest;
 import org.gypsumflow.command.WorkerCapacityTracker.Candidate;
+import org.gypsumflow.command.interference.Interference;
 import org.gypsumflow.model.BestEffortMessage.WorkerStatus;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.Resources;
@@ -32,7 +33,8 @@
                 0,
                 failureRate,
                 0);
-        return new Candidate(MemberName.of(name), status, status.uncommitted(), status.idle(), slowdown);
+        return new Candidate(
+                MemberName.of(name), status, status.uncommitted(), status.idle(), slowdown, Interference.NONE);
     }
 
     private static PlacementRequest job(int count, int estimateMillis) {
--- a/src/test/java/org/gypsumflow/command/WorkerSpeedEstimatorTest.java
+++ b/src/test/java/org/gypsumflow/command/WorkerSpeedEstimatorTest.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.command;
 
+import static org.gypsumflow.model.BestEffortMessage.RunSurroundings.UNKNOWN;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -34,8 +35,8 @@
     private void recordJob(double workMillis, double estimateMillis, double slowdown) {
         nowNanos += millis(50).toNanos();
         List<Sample> runs = List.of(
-                new Sample(FAST, millis(workMillis * 0.5 * (0.9 + 0.2 * random.nextDouble()))),
-                new Sample(SLOW, millis(workMillis * 1.2 * slowdown * (0.9 + 0.2 * random.nextDouble()))));
+                new Sample(FAST, millis(workMillis * 0.5 * (0.9 + 0.2 * random.nextDouble())), UNKNOWN),
+                new Sample(SLOW, millis(workMillis * 1.2 * slowdown * (0.9 + 0.2 * random.nextDouble())), UNKNOWN));
         estimator.recordCompletedJob(runs, millis(estimateMillis), nowNanos);
     }
 
@@ -43,7 +44,7 @@
     public void aWorkerThatOnlyGetsJobsWithLowEstimatesDoesNotLookSlower() {
         for (int count = 0; count < 300; count++) {
             recordJob(100, 60 + 80 * random.nextDouble(), 1);
-            estimator.recordCompletedJob(List.of(new Sample(SLOW, millis(120))), millis(65), nowNanos);
+            estimator.recordCompletedJob(List.of(new Sample(SLOW, millis(120), UNKNOWN)), millis(65), nowNanos);
         }
         double ratio = estimator.slowdown(SLOW, 1, nowNanos) / estimator.slowdown(FAST, 1, nowNanos);
         assertEquals(ratio, 2.4, 0.25);
