--- a/src/main/java/org/gypsumflow/bench/load/SimulatedAgent.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedAgent.java
@@ -155,6 +155,9 @@
 
     private void sendReport(MemberName owner, List<RunResult> results, WorkerStatus status) {
         lastStatuses.put(owner, status);
-        network.report(memberName, owner, new AgentReport(results, status, agentScheduler.runningMillicores()));
+        network.report(
+                memberName,
+                owner,
+                new AgentReport(results, status, agentScheduler.runningMillicoresFor(owner, simulation.nowNanos())));
     }
 }
--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -634,12 +634,17 @@
     }
 
     /**
-     * Returns what the runs of each route take of the worker at present.
+     * Returns what the runs of each route take of the worker at present, for a report to an entry.
      *
-     * @return thousandths of a core by route; empty if the scheduler does not track neighbours
+     * @param entry receiver of the report
+     * @param nowNanos current monotonic time
+     * @return thousandths of a core by route; empty if the entry was told a moment ago, and always if the scheduler does
+     *     not track neighbours
      */
-    public Map<RouteName, Integer> runningMillicores() {
-        return neighbours.map(NeighbourTracker::runningMillicores).orElseGet(Map::of);
+    public Map<RouteName, Integer> runningMillicoresFor(MemberName entry, long nowNanos) {
+        return neighbours
+                .map(tracker -> tracker.runningMillicoresFor(entry, nowNanos))
+                .orElseGet(Map::of);
     }
 
     /** Returns whether a task would start immediately: waiting ones with less slack go first, others are overtaken. */
--- a/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
+++ b/src/main/java/org/gypsumflow/command/WorkerCapacityTracker.java
@@ -109,13 +109,18 @@
     }
 
     /**
-     * Replaces what the runs of each route take of a worker; ignored if the worker is unknown.
+     * Replaces what the runs of each route take of a worker, unless the agent did not tell; ignored if the worker is
+     * unknown.
      *
      * @param agent agent that sent the report
      * @param runningMillicores thousandths of a core by route, of the tasks of all entries
      */
     void updateRunning(MemberName agent, Map<RouteName, Integer> runningMillicores) {
-        find(agent).ifPresent(worker -> worker.reportedRunning = runningMillicores);
+        find(agent).ifPresent(worker -> {
+            if (!runningMillicores.isEmpty() || worker.status.runningTasks() == 0) {
+                worker.reportedRunning = runningMillicores;
+            }
+        });
     }
 
     /**
@@ -179,8 +184,7 @@
      */
     void recordCompletedJob(RouteName route, List<Sample> runs, Duration estimate, long nowNanos) {
         interferenceModel.recordCompletedJob(route, observations(runs, nowNanos), nowNanos);
-        speedEstimator.recordCompletedJob(
-                runs.stream().map(run -> undisturbed(route, run)).toList(), estimate, nowNanos);
+        speedEstimator.recordCompletedJob(runs, estimate, nowNanos);
     }
 
     private List<RunObservation> observations(List<Sample> runs, long nowNanos) {
@@ -195,16 +199,6 @@
         return observations;
     }
 
-    /** Takes the effect of neighbours out of a run duration, so that it does not count as slowness of the worker. */
-    private Sample undisturbed(RouteName route, Sample run) {
-        double factor = interferenceModel.expectedFactor(route, run.surroundings());
-        if (factor == 1) {
-            return run;
-        }
-        double nanos = (double) run.runDuration().toNanos() / factor;
-        return new Sample(run.agent(), Duration.ofNanos((long) nanos), run.surroundings());
-    }
-
     /**
      * Forgets effects of neighbours whose evidence has become old.
      *
--- a/src/main/java/org/gypsumflow/command/interference/InterferenceModel.java
+++ b/src/main/java/org/gypsumflow/command/interference/InterferenceModel.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gypsumflow.command.DecisionCounter;
-import org.gypsumflow.model.BestEffortMessage.Neighbour;
 import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
@@ -197,25 +196,6 @@
         return first == 1 && besideSibling == 0 ? Interference.NONE : new Interference(first, first + besideSibling);
     }
 
-    /**
-     * Returns the factor by which the believed pairs lengthened a run.
-     *
-     * @param route route of the job
-     * @param surroundings what ran beside it
-     * @return the factor, 1 if no believed pair is concerned
-     */
-    public double expectedFactor(RouteName route, RunSurroundings surroundings) {
-        Map<RouteName, Double> factors = believed.get(route);
-        if (factors == null) {
-            return 1;
-        }
-        double logFactor = 0;
-        for (Neighbour neighbour : surroundings.neighbours()) {
-            logFactor += neighbour.overlapShare() * factors.getOrDefault(neighbour.route(), 0.0);
-        }
-        return Math.exp(logFactor);
-    }
-
     /**
      * Counts a job that was placed otherwise than it would have been without the beliefs.
      *
--- a/src/main/java/org/gypsumflow/command/interference/NeighbourTracker.java
+++ b/src/main/java/org/gypsumflow/command/interference/NeighbourTracker.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.command.interference;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import org.gypsumflow.model.BestEffortMessage.Neighbour;
 import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.BestEffortTaskId;
+import org.gypsumflow.model.MemberName;
 import org.gypsumflow.model.RouteName;
 
 /**
@@ -21,7 +23,9 @@
     /** Neighbours reported for a run; those with the largest shares, which disturb most, are kept. */
     private static final int MAX_NEIGHBOURS = 6;
     /** Routes reported as running at the worker; those that take most of it are kept. */
-    private static final int MAX_REPORTED_ROUTES = 16;
+    private static final int MAX_REPORTED_ROUTES = 8;
+    /** Time between two reports of the running routes to one entry, which costs more bytes than the rest of a report. */
+    private static final Duration RUNNING_REPORT_INTERVAL = Duration.ofMillis(250);
     /** Routes without runs that are remembered for the runs that they overlapped. */
     private static final int MAX_ROUTES = 128;
     /** Share of overlap below which a neighbour is not reported. */
@@ -52,6 +56,7 @@
 
     private final Map<RouteName, Presence> presences = new HashMap<>();
     private final Map<BestEffortTaskId, StartedRun> runs = new HashMap<>();
+    private final Map<MemberName, Long> lastToldNanos = new HashMap<>();
     private int occupiedMillicores;
     private double occupiedMillicoreNanos;
     private long updatedNanos;
@@ -128,11 +133,23 @@
     }
 
     /**
-     * Returns what the runs of each route take of the worker at present.
+     * Returns what the runs of each route take of the worker at present, for a report to an entry.
      *
-     * @return thousandths of a core by route, of the routes that take most
+     * @param entry receiver of the report
+     * @param nowNanos current monotonic time
+     * @return thousandths of a core by route, of the routes that take most; empty if the entry was told a moment ago
      */
-    public Map<RouteName, Integer> runningMillicores() {
+    public Map<RouteName, Integer> runningMillicoresFor(MemberName entry, long nowNanos) {
+        Long toldNanos = lastToldNanos.get(entry);
+        if (toldNanos != null && nowNanos - toldNanos < RUNNING_REPORT_INTERVAL.toNanos()) {
+            return Map.of();
+        }
+        lastToldNanos.values().removeIf(told -> nowNanos - told >= RUNNING_REPORT_INTERVAL.toNanos());
+        lastToldNanos.put(entry, nowNanos);
+        return runningMillicores();
+    }
+
+    private Map<RouteName, Integer> runningMillicores() {
         Map<RouteName, Integer> running = new TreeMap<>(Comparator.comparing(RouteName::value));
         presences.entrySet().stream()
                 .filter(entry -> entry.getValue().runCount > 0)
--- a/src/main/java/org/gypsumflow/model/BestEffortMessage.java
+++ b/src/main/java/org/gypsumflow/model/BestEffortMessage.java
@@ -154,7 +154,7 @@
      * @param results results of the assignments that ended since the last report; may be empty
      * @param workerStatus status of the worker; accepts no tasks while no worker is registered
      * @param runningMillicores what the runs of each route take of the worker, in thousandths of a core; empty if the
-     *     agent does not tell
+     *     receiver was told a moment ago, or the agent does not tell
      */
     record AgentReport(List<RunResult> results, WorkerStatus workerStatus, Map<RouteName, Integer> runningMillicores)
             implements BestEffortMessage {
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -249,7 +249,7 @@
             workerSession.executeActions();
             entries.forEach((name, entry) -> {
                 if (entry.wasConfirmed()) {
-                    sendReport(entry, List.of(), statusFor(name, entry));
+                    sendReport(name, entry, List.of(), statusFor(name, entry));
                 }
             });
         });
@@ -292,7 +292,7 @@
             boolean isNew = !entry.wasConfirmed();
             entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
             if (!hadContact && hasConfirmedContact(entry)) {
-                sendReport(entry, List.of(), statusFor(member, entry));
+                sendReport(member, entry, List.of(), statusFor(member, entry));
             }
             if (isNew) {
                 announceNewContact(member, entry);
@@ -395,7 +395,7 @@
             assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
         } else {
             events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "no confirmed contact");
-            sendReport(entry, notStarted(assignments), statusFor(from, entry));
+            sendReport(from, entry, notStarted(assignments), statusFor(from, entry));
         }
     }
 
@@ -467,7 +467,7 @@
         resultsByEntry.forEach((name, results) -> {
             ConnectedEntry entry = entries.get(name);
             if (entry != null) {
-                sendReport(entry, results, statusFor(name, entry));
+                sendReport(name, entry, results, statusFor(name, entry));
             }
         });
         resultsByEntry.clear();
@@ -501,13 +501,13 @@
                 BestEffortTimings.REPORT_INTERVAL.toNanos() * (entries.size() / BestEffortTimings.ENTRIES_AT_FULL_RATE);
         if (sinceLastReport > MAX_REPORT_INTERVAL.toNanos()
                 || (sinceLastReport > minInterval && !status.equals(entry.lastStatus))) {
-            sendReport(entry, List.of(), status);
+            sendReport(name, entry, List.of(), status);
         }
     }
 
-    private void sendReport(ConnectedEntry entry, List<RunResult> results, WorkerStatus status) {
+    private void sendReport(MemberName name, ConnectedEntry entry, List<RunResult> results, WorkerStatus status) {
         entry.lastStatus = status;
         entry.lastReportNanos = time.nanoTime();
-        entry.connection.send(new AgentReport(results, status, scheduler.runningMillicores()));
+        entry.connection.send(new AgentReport(results, status, scheduler.runningMillicoresFor(name, time.nanoTime())));
     }
 }
--- a/src/test/java/org/gypsumflow/bench/load/LoadPatternTest.java
+++ b/src/test/java/org/gypsumflow/bench/load/LoadPatternTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.gypsumflow.bench.load.LoadReport.OutcomeCategory;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.testng.annotations.Test;
@@ -61,4 +62,27 @@
     public void theSameSeedGivesTheSameReport() {
         assertEquals(simulate("steady-85", 7).text(), simulate("steady-85", 7).text());
     }
+
+    @Test
+    public void kindsThatSlowEachOtherDownBy1Point8AreKeptApartAtHalfLoad() {
+        LoadReport apart = simulate("interfering-kinds-50-avoidance", 1);
+        assertTrue(apart.believedPairs() > 0);
+        assertTrue(apart.valueRatio() > simulate("interfering-kinds-50", 1).valueRatio() + 0.05, apart.text());
+    }
+
+    @Test
+    public void kindsThatDoNotDisturbEachOtherArePlacedAsWithoutAvoidance() {
+        for (String load : List.of("steady-65", "steady-85")) {
+            assertEquals(
+                    simulate(load + "-avoidance", 1).text(), simulate(load, 1).text());
+        }
+    }
+
+    // Guards against interference that makes workers look full, so that jobs are rejected for it.
+    @Test
+    public void atFullLoadNoMoreJobsAreRejectedBecauseKindsDisturbEachOther() {
+        int rejected = simulate("interfering-kinds-100-avoidance", 1).count(OutcomeCategory.REJECTED);
+        int rejectedWithout = simulate("interfering-kinds-100", 1).count(OutcomeCategory.REJECTED);
+        assertTrue(rejected <= 1.02 * rejectedWithout, rejected + " and " + rejectedWithout);
+    }
 }
--- a/src/test/java/org/gypsumflow/command/EarliestFinishPlacementTest.java
+++ b/src/test/java/org/gypsumflow/command/EarliestFinishPlacementTest.java
@@ -37,6 +37,16 @@
                 MemberName.of(name), status, status.uncommitted(), status.idle(), slowdown, Interference.NONE);
     }
 
+    private static Candidate disturbed(Candidate worker, double first, double further) {
+        return new Candidate(
+                worker.agent(),
+                worker.reportedStatus(),
+                worker.uncommitted(),
+                worker.idle(),
+                worker.slowdown(),
+                new Interference(first, further));
+    }
+
     private static PlacementRequest job(int count, int estimateMillis) {
         return new PlacementRequest(
                 count,
@@ -137,4 +147,36 @@
                 true);
         assertEquals(chosenAgents(request, List.of(worker("one", 4, 0.8, 0))), List.of(MemberName.of("one")));
     }
+
+    @Test
+    public void atHalfLoadATaskIsKeptApartFromKindsThatSlowItDown() {
+        List<Candidate> workers =
+                List.of(disturbed(worker("shared", 20, 0.8, 0), 1.8, 1.8), worker("apart", 12, 1.0, 0));
+        assertEquals(chosenAgents(job(3, 300), workers), Collections.nCopies(3, MemberName.of("apart")));
+    }
+
+    @Test
+    public void tasksOfAKindThatSlowsItselfDownSpreadOverTheWorkers() {
+        List<Candidate> workers =
+                List.of(disturbed(worker("one", 32, 0.8, 0), 1, 1.8), disturbed(worker("two", 32, 0.9, 0), 1, 1.8));
+        List<MemberName> chosenAgents = chosenAgents(job(2, 300), workers);
+        assertEquals(Collections.frequency(chosenAgents, MemberName.of("two")), 1);
+    }
+
+    // Guards against jobs that are rejected although workers have room, because all workers run disturbing kinds.
+    @Test
+    public void whereThereIsNoRoomApartKindsShareAndNothingIsRejected() {
+        for (int freeCores = -40; freeCores <= 32; freeCores++) {
+            for (int estimateMillis : new int[] {30, 300, 3000}) {
+                List<Candidate> undisturbed = List.of(worker("one", freeCores, 0.8, 0), worker("two", 2, 1.2, 0));
+                List<Candidate> disturbed = undisturbed.stream()
+                        .map(worker -> disturbed(worker, 3, 4))
+                        .toList();
+                PlacementRequest request = job(4, estimateMillis);
+                assertEquals(
+                        chosenAgents(request, disturbed).isEmpty(),
+                        chosenAgents(request, undisturbed).isEmpty());
+            }
+        }
+    }
 }
--- a/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
+++ b/src/test/java/org/gypsumflow/wire/BestEffortCodecTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.gypsumflow.model.AvailabilityZone;
@@ -22,9 +23,11 @@
 import org.gypsumflow.model.BestEffortMessage.JobAbandoned;
 import org.gypsumflow.model.BestEffortMessage.JobList;
 import org.gypsumflow.model.BestEffortMessage.MemberHeartbeat;
+import org.gypsumflow.model.BestEffortMessage.Neighbour;
 import org.gypsumflow.model.BestEffortMessage.Relay;
 import org.gypsumflow.model.BestEffortMessage.RequestJobs;
 import org.gypsumflow.model.BestEffortMessage.RunResult;
+import org.gypsumflow.model.BestEffortMessage.RunSurroundings;
 import org.gypsumflow.model.BestEffortMessage.ShareJobs;
 import org.gypsumflow.model.BestEffortMessage.ShareRoutingState;
 import org.gypsumflow.model.BestEffortMessage.StopTasks;
@@ -65,6 +68,15 @@
                 true);
     }
 
+    private static RunResult resultBeside(int index, Neighbour... neighbours) {
+        return new RunResult(
+                BestEffortTaskId.of(JOB, index),
+                RunNumber.of(1),
+                RunOutcome.DONE,
+                Duration.ofMillis(90),
+                new RunSurroundings(List.of(neighbours), 0.75f));
+    }
+
     @DataProvider
     public Object[][] messages() {
         WorkerStatus workerStatus = new WorkerStatus(
@@ -118,6 +130,15 @@
                                 Duration.ofMillis(9))),
                         workerStatus)
             },
+            {
+                new AgentReport(
+                        List.of(
+                                resultBeside(1, new Neighbour(RouteName.of("a"), 0.5f)),
+                                resultBeside(
+                                        2, new Neighbour(RouteName.of("b"), 1), new Neighbour(RouteName.of("a"), 1))),
+                        workerStatus,
+                        Map.of(RouteName.of("a"), 3100, RouteName.of("b"), 400))
+            },
             {
                 new ShareRoutingState(
                         new RoutingTable(9, List.of(route), Set.of(ServiceName.of("s"))),
