--- a/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
+++ b/src/main/java/org/gypsumflow/bench/load/SimulatedNetwork.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.JobPlacementPolicy;
 import org.gypsumflow.command.WorkerCapacityTracker;
+import org.gypsumflow.command.interference.InterferenceModel;
 import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortJob;
@@ -39,12 +40,17 @@
         this.simulation = simulation;
     }
 
-    void addEntry(MemberName name, AvailabilityZone zone, JobPlacementPolicy policy, DispatchFeatures features) {
+    void addEntry(
+            MemberName name,
+            AvailabilityZone zone,
+            JobPlacementPolicy policy,
+            DispatchFeatures features,
+            InterferenceModel interferenceModel) {
         AgentClient agentClient = new AgentClient(
                 (agent, assignments) -> assign(name, agent, assignments),
                 (agent, job, indexes) -> stop(name, agent, job, indexes));
         JobDispatcher dispatcher = JobDispatcher.create(
-                WorkerCapacityTracker.create(),
+                WorkerCapacityTracker.create(interferenceModel),
                 policy,
                 agentClient,
                 features.capacitySharing()
--- a/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
+++ b/src/main/java/org/gypsumflow/command/EarliestFinishPlacement.java
@@ -41,12 +41,14 @@
         private Resources usable;
         private double waitMillis;
         private double finishMillis;
-        private double finishStep;
+        private double costStep;
         private double freeShare;
+        private double interferenceFactor;
 
         private WorkerOption(PlacementRequest request, Candidate candidate, double healthySlowdown) {
             this.candidate = candidate;
             this.resources = request.resourcesPerTask();
+            this.interferenceFactor = candidate.interference().first();
             double slowdown = candidate.slowdown();
             double estimateMillis = request.estimate().toMillis();
             this.runMillis = estimateMillis * slowdown;
@@ -75,6 +77,7 @@
         }
 
         private void addTask() {
+            interferenceFactor = candidate.interference().further();
             setUsable(usable.minus(resources));
         }
 
@@ -82,11 +85,19 @@
             usable = available;
             waitMillis = available.canFit(resources) ? 0 : expectedWaitMillis();
             finishMillis = OVERHEAD.toMillis() + WAIT_SAFETY_FACTOR * waitMillis + runMillis;
-            finishStep = Math.floor(finishMillis / FINISH_TIME_RESOLUTION_MILLIS);
+            costStep = Math.floor(costMillis() / FINISH_TIME_RESOLUTION_MILLIS);
             freeShare = (double) usable.cpuMillicores()
                     / Math.max(1, candidate.reportedStatus().capacity().cpuMillicores());
         }
 
+        /**
+         * Returns the cost by which workers are compared: the expected finish, and the time that kinds which disturb each
+         * other lose beside each other. That time never makes a task late, so that no job is rejected for it.
+         */
+        private double costMillis() {
+            return finishMillis + (interferenceFactor - 1) * runMillis;
+        }
+
         /** Returns the expected wait on a full worker: its whole capacity becomes free once per mean run duration. */
         private double expectedWaitMillis() {
             double missingMillicores = resources.cpuMillicores() - usable.cpuMillicores();
@@ -102,7 +113,7 @@
         }
 
         private boolean finishesEarlierThan(WorkerOption other) {
-            return finishStep < other.finishStep || (finishStep == other.finishStep && freeShare > other.freeShare);
+            return costStep < other.costStep || (costStep == other.costStep && freeShare > other.freeShare);
         }
     }
 
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -17,6 +17,7 @@
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
 import org.gypsumflow.platform.ReadinessResource;
+import org.gypsumflow.query.InterferenceQuery;
 import org.gypsumflow.query.ShareQuery;
 import org.gypsumflow.traffic.BestEffortEntry;
 
@@ -63,6 +64,10 @@
             metrics().addGauge("entry.busy_share", entry::busyShare);
         }
         addQuery(SHARES_PATH, () -> entry.shareStatuses().thenApply(ShareQuery::list));
+        if (settings.features().interferenceAvoidance()) {
+            metrics().addGauge("interference.believed.pairs", entry::believedPairCount);
+            addQuery("/interference", () -> entry.interferingPairs().thenApply(InterferenceQuery::rows));
+        }
         GrizzlyHttpServer httpServer = httpServer();
         ReadinessResource.register(httpServer, this::isReady);
         JobResource.register(
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -15,6 +15,7 @@
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.command.DecisionCounter;
 import org.gypsumflow.command.DispatchFeatures;
+import org.gypsumflow.command.interference.NeighbourTracker;
 import org.gypsumflow.control.Connection;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.RoutingStateCache;
@@ -114,7 +115,7 @@
     private final RoutingStateCache routingState;
     private final DispatchFeatures features;
     private final DecisionCounter counter;
-    private final AgentScheduler scheduler = AgentScheduler.create();
+    private final AgentScheduler scheduler;
     private final PauseDetector pauseDetector;
     private final WorkerSession workerSession;
     private final Map<MemberName, ConnectedEntry> entries = new HashMap<>();
@@ -134,6 +135,9 @@
             DecisionCounter counter) {
         this.features = features;
         this.counter = counter;
+        this.scheduler = features.interferenceAvoidance()
+                ? AgentScheduler.create(NeighbourTracker.create())
+                : AgentScheduler.create();
         this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
         this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
         this.time = time;
@@ -253,7 +257,7 @@
             workerSession.executeActions();
             entries.forEach((name, entry) -> {
                 if (entry.wasConfirmed()) {
-                    sendReport(entry, List.of(), statusFor(name, entry));
+                    sendReport(name, entry, List.of(), statusFor(name, entry));
                 }
             });
         });
@@ -296,7 +300,7 @@
             boolean isNew = !entry.wasConfirmed();
             entry.confirmedSentNanos = OptionalLong.of(sentAtNanos);
             if (!hadContact && hasConfirmedContact(entry)) {
-                sendReport(entry, List.of(), statusFor(member, entry));
+                sendReport(member, entry, List.of(), statusFor(member, entry));
             }
             if (isNew) {
                 announceNewContact(member, entry);
@@ -399,7 +403,7 @@
             assignments.forEach(assignment -> scheduler.assign(from, assignment, now));
         } else {
             events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, assignments.size(), from, "no confirmed contact");
-            sendReport(entry, notStarted(assignments), statusFor(from, entry));
+            sendReport(from, entry, notStarted(assignments), statusFor(from, entry));
         }
     }
 
@@ -471,7 +475,7 @@
         resultsByEntry.forEach((name, results) -> {
             ConnectedEntry entry = entries.get(name);
             if (entry != null) {
-                sendReport(entry, results, statusFor(name, entry));
+                sendReport(name, entry, results, statusFor(name, entry));
             }
         });
         resultsByEntry.clear();
@@ -505,13 +509,13 @@
                 BestEffortTimings.REPORT_INTERVAL.toNanos() * (entries.size() / BestEffortTimings.ENTRIES_AT_FULL_RATE);
         if (sinceLastReport > MAX_REPORT_INTERVAL.toNanos()
                 || (sinceLastReport > minInterval && !status.equals(entry.lastStatus))) {
-            sendReport(entry, List.of(), status);
+            sendReport(name, entry, List.of(), status);
         }
     }
 
-    private void sendReport(ConnectedEntry entry, List<RunResult> results, WorkerStatus status) {
+    private void sendReport(MemberName name, ConnectedEntry entry, List<RunResult> results, WorkerStatus status) {
         entry.lastStatus = status;
         entry.lastReportNanos = time.nanoTime();
-        entry.connection.send(new AgentReport(results, status));
+        entry.connection.send(new AgentReport(results, status, scheduler.runningMillicoresFor(name, time.nanoTime())));
     }
 }
--- a/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortEntry.java
@@ -20,6 +20,8 @@
 import org.gypsumflow.command.balancing.JobBalancer;
 import org.gypsumflow.command.balancing.LoadMeter;
 import org.gypsumflow.command.balancing.PeerChooser;
+import org.gypsumflow.command.interference.InterferenceModel;
+import org.gypsumflow.command.interference.InterferingPair;
 import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.command.sharing.ShareStatus;
 import org.gypsumflow.control.Connection;
@@ -76,7 +78,8 @@
     private final Map<MemberName, Connection> agents = new HashMap<>();
     private final PeerPaths peers;
     private final JobBarrier barrier;
-    private final WorkerCapacityTracker capacityTracker = WorkerCapacityTracker.create();
+    private final InterferenceModel interferenceModel;
+    private final WorkerCapacityTracker capacityTracker;
     private final JobOwnerCache jobOwners = JobOwnerCache.create();
     private final JobHandovers handovers;
     private final JobAnnouncements announcements;
@@ -119,6 +122,10 @@
         this.shares = shares;
         this.features = features;
         this.counter = counter;
+        this.interferenceModel = features.interferenceAvoidance()
+                ? InterferenceModel.create(events, counter)
+                : InterferenceModel.disabled();
+        this.capacityTracker = WorkerCapacityTracker.create(interferenceModel);
         this.barrier = JobBarrier.create(time.nanoTime());
         this.handovers = new JobHandovers(
                 executor, time, this::requestAbandonment, this::handoverCompleted, this::completeWaiting);
@@ -651,6 +658,26 @@
         return balancing.map(part -> part.loads().busyShare()).orElse(0.0);
     }
 
+    /**
+     * Returns the kinds of tasks that were seen beside each other, with their effect on each other.
+     *
+     * @return the pairs, in any order; none if interference avoidance is off
+     */
+    public CompletableFuture<List<InterferingPair>> interferingPairs() {
+        CompletableFuture<List<InterferingPair>> pairs = new CompletableFuture<>();
+        executor.execute(() -> pairs.complete(interferenceModel.pairs(time.nanoTime())));
+        return pairs;
+    }
+
+    /**
+     * Returns the number of ordered pairs of kinds that placement keeps apart.
+     *
+     * @return number of pairs, as of the last change
+     */
+    public int believedPairCount() {
+        return interferenceModel.believedCount();
+    }
+
     /** Applies the latest closed zones, whose workers get no new tasks. */
     public void closedZonesChanged() {
         executor.execute(() -> capacityTracker.setClosedZones(
--- a/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortEntryTest.java
@@ -13,6 +13,7 @@
 import org.gypsumflow.command.DispatchFeatures;
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.control.ManualExecutor;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.model.AvailabilityZone;
@@ -82,6 +83,7 @@
                 RoutingStateCache.create((event, details) -> {}),
                 (event, details) -> {},
                 JobObserver.none(),
+                CapacityShares.disabled(),
                 features,
                 DecisionCounter.none());
         entry.start();
--- a/src/test/java/org/gypsumflow/traffic/JobDelegationsTest.java
+++ b/src/test/java/org/gypsumflow/traffic/JobDelegationsTest.java
@@ -17,6 +17,7 @@
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.balancing.DelegationTarget;
 import org.gypsumflow.command.balancing.DelegationTarget.Cause;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.control.ManualExecutor;
 import org.gypsumflow.control.RoutingStateCache;
 import org.gypsumflow.model.AvailabilityZone;
@@ -102,6 +103,7 @@
                 routingState,
                 (event, details) -> {},
                 JobObserver.none(),
+                CapacityShares.disabled(),
                 new DispatchFeatures(false, true, false, false, false),
                 DecisionCounter.none());
         entry.balanceJobs(ZONE, (balancer, nowNanos) -> balancer.freshPeers(nowNanos).stream()
--- a/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
+++ b/src/test/java/org/gypsumflow/world/BestEffortSimulation.java
@@ -19,6 +19,7 @@
 import org.gypsumflow.command.EarliestFinishPlacement;
 import org.gypsumflow.command.JobObserver;
 import org.gypsumflow.command.balancing.PeerChooser;
+import org.gypsumflow.command.sharing.CapacityShares;
 import org.gypsumflow.control.ConnectionManager;
 import org.gypsumflow.control.ReceptionMonitor;
 import org.gypsumflow.control.ReceptionProgress;
@@ -196,6 +197,9 @@
                 routingState,
                 events,
                 JobObserver.none(),
+                features.capacitySharing()
+                        ? CapacityShares.create(host.member.zone(), events, counter)
+                        : CapacityShares.disabled(),
                 new DispatchFeatures(
                         features.overloadControl(),
                         chooser.isPresent(),
