Warm an entry up with made-up jobs after its start

Cause: an entry that has just started interprets its code.

No message leaves the process. It ends when the first caller comes.

--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -222,7 +222,8 @@
                 : query.get().thenApply(result -> ServerResponse.json(OK, result));
     }
 
-    private SerialExecutor createExecutor(String name) {
+    /** Creates an executor on a thread of its own, which ends with the daemon. */
+    final SerialExecutor createExecutor(String name) {
         SingleThreadExecutor executor = SingleThreadExecutor.create(name, events);
         executors.add(executor);
         return executor;
--- a/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortEntryDaemon.java
@@ -1,5 +1,6 @@
 package org.gypsumflow.daemon;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -13,6 +14,7 @@
 import org.gypsumflow.control.ReceptionProgress;
 import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.http.GrizzlyHttpServer;
+import org.gypsumflow.http.HttpClient;
 import org.gypsumflow.model.MemberName;
 import org.gypsumflow.platform.JobResource;
 import org.gypsumflow.platform.OperatorRecordReader;
@@ -30,12 +32,15 @@
     private static final Duration ACCEPT_AFTER_NOT_READY = Duration.ofMillis(2200);
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final Duration WARM_UP_REQUEST_TIMEOUT = Duration.ofSeconds(1);
+    private static final byte[] WARM_UP_BODY = "{}".getBytes(StandardCharsets.UTF_8);
     /** Path of the metrics address at which the shares of the services are listed. */
     private static final String SHARES_PATH = "/shares";
 
     private final BestEffortEntry entry;
     private final ReceptionProgress receptionProgress;
     private volatile boolean draining;
+    private volatile boolean callersHaveCome;
 
     BestEffortEntryDaemon(BestEffortSettings settings) {
         super(settings, settings.callersAddress());
@@ -74,7 +79,10 @@
                 httpServer,
                 () -> routingState().current().table(),
                 entry::rejectIfTooLate,
-                entry::submit,
+                (job, arrivedNanos, timeLeft, disconnected) -> {
+                    callersHaveCome = true;
+                    return entry.submit(job, arrivedNanos, timeLeft, disconnected);
+                },
                 entry::cancel,
                 entry::isActive,
                 events());
@@ -118,6 +126,22 @@
                         events())
                 .start();
         httpServer().bind(settings().readinessAddress());
+        if (settings().warmUp()) {
+            startWarmUp();
+        }
+    }
+
+    private void startWarmUp() {
+        HttpClient client = HttpClient.createOnTransportOf(httpServer(), 1);
+        String url =
+                "http://" + settings().callersAddress().getAddress().getHostAddress() + ":" + httpPort() + "/warm-up";
+        EntryWarmUp.start(
+                createExecutor("warm-up"),
+                TimeSource.system(),
+                settings().features(),
+                () -> client.post(url, EntryWarmUp.headersWithoutRoute(), WARM_UP_BODY, WARM_UP_REQUEST_TIMEOUT),
+                () -> callersHaveCome || draining,
+                events());
     }
 
     @Override
--- a/src/main/java/org/gypsumflow/daemon/BestEffortSettings.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortSettings.java
@@ -23,6 +23,7 @@
  * @param metricsAddress address on which metrics are served; empty to serve none
  * @param gracePeriod time after the platform's request to stop until it kills the process
  * @param features parts of the dispatcher that are switched on
+ * @param warmUp true if an entry runs made-up jobs after its start to have its code compiled
  */
 record BestEffortSettings(
         Member self,
@@ -33,7 +34,8 @@
         String storeAddress,
         Optional<InetSocketAddress> metricsAddress,
         Duration gracePeriod,
-        DispatchFeatures features) {
+        DispatchFeatures features,
+        boolean warmUp) {
     private static final String TABLE = "dispatch";
     private static final Set<String> ENTRY_ONLY = Set.of("dispatch.callers-address", "dispatch.readiness-address");
     private static final Set<String> AGENT_ONLY = Set.of("dispatch.reports-address", "dispatch.worker-address");
@@ -74,7 +76,8 @@
                         reader.flag("dispatch.job-balancing", false),
                         reader.flag("dispatch.capacity-sharing", false),
                         reader.flag("dispatch.interference-avoidance", false),
-                        reader.flag("dispatch.prompt-call-recovery", false)));
+                        reader.flag("dispatch.prompt-call-recovery", false)),
+                reader.flag("dispatch.warm-up", false));
         reader.ignore(isEntry ? AGENT_ONLY : ENTRY_ONLY);
         reader.rejectUnknown();
         return settings;
@@ -91,7 +94,8 @@
                 storeAddress,
                 metricsAddress,
                 newGracePeriod,
-                features);
+                features,
+                warmUp);
     }
 
     private static InetSocketAddress address(SettingsReader reader, String name) {
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -129,6 +129,8 @@
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
     FEATURES(630, Level.INFO, "{}"),
+    /** An entry that has just started has run made-up jobs to have its code compiled. */
+    WARMED_UP(633, Level.INFO, "warmed up with {} made-up jobs"),
     /** A call to the worker got no response in time and is sent again. */
     CALL_REPEATED(650, Level.WARN, "worker left {} unanswered for {} ms, sent copy {}"),
     /** The worker lists a run whose start got no response. */
