--- a/review/second/Deployment.java
+++ b/review/second/Deployment.java
@@ -27,6 +27,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.gypsumflow.wire.MemberCodec;
 
@@ -112,13 +113,21 @@
     }
 
     void putConfig(long version, int timeoutMs, double stretch) {
+        putConfig(version, timeoutMs, stretch, List.of(PREFIX));
+    }
+
+    /** Writes a desired state with one route for each path prefix. */
+    void putConfig(long version, int timeoutMs, double stretch, List<String> prefixes) {
+        String routes = prefixes.stream()
+                .map(prefix -> "{\"name\":\"r-" + prefix.replace("/", "") + "\",\"host\":\"" + HOST
+                        + "\",\"pathPrefix\":\"" + prefix + "\",\"kind\":\"mutating\",\"timeoutMs\":" + timeoutMs
+                        + ",\"targetLatencyMs\":60,\"priority\":0,\"service\":\"" + SERVICE
+                        + "\",\"maxAttempts\":4,\"stretch\":" + stretch + "}")
+                .collect(Collectors.joining(","));
         store.put(
                 "keyed.op",
                 "config",
-                "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + HOST + "\",\"pathPrefix\":\""
-                        + PREFIX + "\",\"kind\":\"mutating\",\"timeoutMs\":" + timeoutMs
-                        + ",\"targetLatencyMs\":60,\"priority\":0,\"service\":\"" + SERVICE
-                        + "\",\"maxAttempts\":4,\"stretch\":" + stretch + "}],\"services\":[{\"name\":\"" + SERVICE
+                "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[{\"name\":\"" + SERVICE
                         + "\",\"enforcesCapacity\":true}],\"limits\":{}}");
     }
 
@@ -131,6 +140,10 @@
         return add(name, zone, "agent");
     }
 
+    Member prepareAgent(String name, String zone) throws IOException {
+        return prepare(name, zone, "agent");
+    }
+
     /** Adds an entry that is started later. */
     Member prepareEntry(String name, String zone) throws IOException {
         return prepare(name, zone, "entry");
--- a/review/second/Script.java
+++ b/review/second/Script.java
@@ -30,7 +30,7 @@
             boolean holds =
                     switch (name) {
                         case "late-start" -> LateStartAtNextWorker.holds(deployment, trouble);
-                        case "cancel-on-silent-channel" -> CancelOnSilentChannel.holds(deployment, trouble);
+                        case "cancel-after-dropped-route" -> CancelAfterDroppedRoute.holds(deployment, trouble);
                         default -> throw new IllegalArgumentException(name);
                     };
             deployment.noteJournals();
--- a/review/second/StoreServer.java
+++ b/review/second/StoreServer.java
@@ -61,6 +61,10 @@
         add(topic, new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
     }
 
+    synchronized void putBytes(String topic, String key, byte[] value) {
+        add(topic, new Entry(key, value));
+    }
+
     private synchronized void add(String topic, Entry entry) {
         topics.computeIfAbsent(topic, name -> new ArrayList<>()).add(entry);
         notifyAll();
