--- a/review/second/Deployment.java
+++ b/review/second/Deployment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.UncheckedIOException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -22,14 +21,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.gypsumflow.wire.MemberCodec;
 
 /**
  * A small deployment on loopback addresses: the project's programs, started with the commands of deploy/system.toml and
@@ -77,7 +74,6 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(2))
             .build();
-    private final Map<String, Integer> proxyPorts = new ConcurrentHashMap<>();
     private int machines = 1;
 
     Deployment(PrintWriter record) throws IOException {
@@ -88,7 +84,7 @@
         String storeIp = network + machines++;
         int port = freePort(storeIp);
         this.storeAddress = storeIp + ":" + port;
-        this.store = new StoreServer(new InetSocketAddress(storeIp, port), this::atProxy);
+        this.store = new StoreServer(new InetSocketAddress(storeIp, port));
     }
 
     static int freePort(String ip) throws IOException {
@@ -140,33 +136,7 @@
         return add(name, zone, "agent");
     }
 
-    Member prepareAgent(String name, String zone) throws IOException {
-        return prepare(name, zone, "agent");
-    }
-
-    /** Adds an entry that is started later. */
-    Member prepareEntry(String name, String zone) throws IOException {
-        return prepare(name, zone, "entry");
-    }
-
-    /** Lets the other members reach a member through a proxy on its own machine. */
-    void reachThrough(Member member, int proxyPort) {
-        proxyPorts.put(member.name, proxyPort);
-    }
-
-    private byte[] atProxy(byte[] memberRecord) {
-        org.gypsumflow.model.Member member = MemberCodec.decode(memberRecord);
-        Integer proxyPort = proxyPorts.get(member.name().value());
-        return proxyPort == null ? memberRecord : MemberCodec.encode(member.withPort(proxyPort));
-    }
-
     private Member add(String name, String zone, String role) throws IOException {
-        Member member = prepare(name, zone, role);
-        start(member);
-        return member;
-    }
-
-    private Member prepare(String name, String zone, String role) throws IOException {
         String ip = network + machines++;
         Member member = new Member(name, zone, ip, freePort(ip));
         member.fields.put("role", role);
@@ -184,11 +154,11 @@
             member.fields.put("app", member.workerAddress());
         }
         members.put(name, member);
+        start(member);
         return member;
     }
 
-    /** Starts the program of a member, or starts it again. */
-    void start(Member member) throws IOException {
+    private void start(Member member) throws IOException {
         String template = Files.readString(top.resolve("deploy/settings.toml"));
         Matcher fields = Pattern.compile("\\{\\{([A-Za-z0-9.]+)}}").matcher(template);
         Path settings = work.resolve(member.name + ".toml");
@@ -240,11 +210,6 @@
         return process;
     }
 
-    /** Sends a signal to a process that this deployment started. */
-    void signal(Process process, String signal) throws Exception {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-    }
-
     /** Sends a request of a client to an entry; completes with the status and body, or with why there is none. */
     CompletableFuture<String> call(Member entry, String method, String job, String body, long deadlineMillis) {
         HttpRequest.Builder request = HttpRequest.newBuilder(
@@ -288,8 +253,6 @@
                                     HttpResponse.BodyHandlers.discarding())
                             .statusCode()
                     == 200;
-        } catch (ConnectException notListening) {
-            return false;
         } catch (IOException notAnswered) {
             return false;
         } catch (InterruptedException interrupted) {
@@ -330,18 +293,7 @@
         record.flush();
     }
 
-    /** Copies the decisions that the programs logged and that hold a text into the record. */
-    void noteLogs(String text) throws IOException {
-        for (Member member : members.values()) {
-            try (Stream<String> lines = Files.lines(work.resolve(member.name + ".log"))) {
-                lines.filter(line -> line.contains(text))
-                        .limit(60)
-                        .forEach(line -> record.println("LOG " + member.name + " " + line));
-            }
-        }
-        record.flush();
-    }
-
+    /** Ends all processes that this deployment started. */
     void killAll() {
         processes.forEach(Process::destroyForcibly);
     }
--- a/review/second/LateStartAtNextWorker.java
+++ b/review/second/LateStartAtNextWorker.java
@@ -1,9 +1,7 @@
 package second;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,12 +16,12 @@
  */
 final class LateStartAtNextWorker {
     /** The pages: carried out 2 to 12 s later. */
-    private static final long LATE_MILLIS = 2_500;
+    private static final long LATE_MILLIS = 4_000;
 
     /** One of eight: the sheet has up to a share of 0.14 crash. */
     private static final int WORKERS = 8;
 
-    private static final long TASK_MILLIS = 2_600;
+    private static final long TASK_MILLIS = 5_000;
 
     private static final String JOB = "5c0e7a21d94b36f8";
 
@@ -34,10 +32,9 @@
         AtomicInteger calls = new AtomicInteger();
         Map<String, WorkerPath> paths = new HashMap<>();
         Map<String, InetSocketAddress> behind = new HashMap<>();
-        List<Deployment.Member> agents = new ArrayList<>();
         CompletableFuture<Deployment.Member> crashing = new CompletableFuture<>();
         Map<String, Long> killed = new HashMap<>();
-        deployment.putConfig(1, 8_000, 6);
+        deployment.putConfig(1, 14_000, 6);
         for (int index = 1; index <= WORKERS; index++) {
             Deployment.Member agent = deployment.addAgent("side-" + index, "rvk-a");
             InetSocketAddress worker = new InetSocketAddress(agent.ip, Deployment.freePort(agent.ip));
@@ -59,14 +56,13 @@
                     });
             path.open();
             paths.put(agent.name, path);
-            agents.add(agent);
-            deployment.startWorker(agent, "i-" + agent.name + "-a", worker.getAddress().getHostAddress() + ":" + worker.getPort());
+            deployment.startWorker(agent, "i-" + agent.name + "-a", text(worker));
         }
         Deployment.Member entry = deployment.addEntry("edge-1", "rvk-a");
         deployment.await("the entry is ready", () -> deployment.isReady(entry));
         Thread.sleep(4_000);
         CompletableFuture<String> answer =
-                deployment.call(entry, "POST", JOB, Deployment.job(1, 1_600, TASK_MILLIS, TASK_MILLIS), 8_000);
+                deployment.call(entry, "POST", JOB, Deployment.job(1, 1_600, TASK_MILLIS, TASK_MILLIS), 14_000);
         if (trouble) {
             Deployment.Member agent = crashing.get(10, TimeUnit.SECONDS);
             Thread.sleep(900);
@@ -74,16 +70,18 @@
             paths.get(agent.name).close();
             agent.worker.destroyForcibly().waitFor();
             killed.put("i-" + agent.name + "-a", System.currentTimeMillis());
-            InetSocketAddress worker = behind.get(agent.name);
-            deployment.startWorker(
-                    agent, "i-" + agent.name + "-b", worker.getAddress().getHostAddress() + ":" + worker.getPort());
+            deployment.startWorker(agent, "i-" + agent.name + "-b", text(behind.get(agent.name)));
             deployment.await("the worker is back", () -> deployment.journals().stream()
                     .anyMatch(line -> line.contains("i-" + agent.name + "-b UP")));
             paths.get(agent.name).open();
         }
-        answer.get(20, TimeUnit.SECONDS);
+        answer.get(25, TimeUnit.SECONDS);
         Thread.sleep(2_500);
         deployment.note("CALLS to workers: " + calls + ", held back: " + (heldBack.get() ? 1 : 0));
         return Checks.noTaskRunsTwiceAtATime(deployment, JOB, killed);
     }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
 }
--- a/review/second/StoreServer.java
+++ b/review/second/StoreServer.java
@@ -16,13 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
-import java.util.function.UnaryOperator;
 
-/**
- * Stand-in for the platform's store: topics of keyed records with one partition each, kept in memory, whole history.
- *
- * <p>A connector may replace the value of a record for its readers; see {@link Deployment}.
- */
+/** Stand-in for the platform's store: topics of keyed records with one partition each, all kept in memory. */
 public final class StoreServer implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -40,10 +35,8 @@
 
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final HttpServer server;
-    private final UnaryOperator<byte[]> memberRecord;
 
-    StoreServer(InetSocketAddress address, UnaryOperator<byte[]> memberRecord) throws IOException {
-        this.memberRecord = memberRecord;
+    StoreServer(InetSocketAddress address) throws IOException {
         server = HttpServer.create(address, 50);
         server.setExecutor(Executors.newCachedThreadPool(action -> {
             Thread thread = new Thread(action, "store");
@@ -61,10 +54,6 @@
         add(topic, new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
     }
 
-    synchronized void putBytes(String topic, String key, byte[] value) {
-        add(topic, new Entry(key, value));
-    }
-
     private synchronized void add(String topic, Entry entry) {
         topics.computeIfAbsent(topic, name -> new ArrayList<>()).add(entry);
         notifyAll();
@@ -95,7 +84,7 @@
                 body.get(record);
                 String key = new String(record, 1, record[0], StandardCharsets.UTF_8);
                 byte[] value = Arrays.copyOfRange(record, 1 + record[0], record.length);
-                add(topic, new Entry(key, topic.startsWith("keyed.op") ? value : memberRecord.apply(value)));
+                add(topic, new Entry(key, value));
             }
             end = topics.get(topic).size();
         }
