--- a/review/third/ReviewDeployment.java
+++ b/review/third/ReviewDeployment.java
@@ -43,6 +43,8 @@
         final String role;
         final Map<String, Integer> ports = new HashMap<>();
         Process process;
+        /** Reads what the process writes; null if that goes to a file. */
+        LogCollector collector;
 
         Machine(String name, String ip, String zone, String role) {
             this.name = name;
@@ -157,6 +159,7 @@
         for (int number = 1; number <= entryCount; number++) {
             Machine entry = new Machine("edge-z" + number, address(10 + number), "z" + number, "entry");
             entries.add(entry);
+            entry.collector = new LogCollector();
             storeLinks.put(entry.name, new LinkProxy(storeHost, OrderProxy.loopback(storeHost, store.port())));
             start(entry);
         }
@@ -180,10 +183,20 @@
     }
 
     void putRoutes(int version) {
-        store.put("keyed.op", "config", "{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"host\":\"" + HOST_NAME
-                + "\",\"pathPrefix\":\"" + PREFIX + "\",\"service\":\"dispatch\",\"priority\":1,\"maxAttempts\":3,"
-                + "\"stretch\":1.6,\"targetLatencyMs\":60,\"timeoutMs\":20000}],"
-                + "\"services\":[{\"name\":\"dispatch\",\"enforcesCapacity\":true}]}");
+        putRoutes(version, "");
+    }
+
+    /** Writes a desired state with the usual route and, if its prefix is not empty, another one. */
+    void putRoutes(int version, String addedPrefix) {
+        String routes = route("r", PREFIX) + (addedPrefix.isEmpty() ? "" : "," + route("added", addedPrefix));
+        store.put("keyed.op", "config", "{\"version\":" + version + ",\"routes\":[" + routes
+                + "],\"services\":[{\"name\":\"dispatch\",\"enforcesCapacity\":true}]}");
+    }
+
+    private static String route(String name, String prefix) {
+        return "{\"name\":\"" + name + "\",\"host\":\"" + HOST_NAME + "\",\"pathPrefix\":\"" + prefix
+                + "\",\"service\":\"dispatch\",\"priority\":1,\"maxAttempts\":3,\"stretch\":1.6,"
+                + "\"targetLatencyMs\":60,\"timeoutMs\":20000}";
     }
 
     /** Starts a daemon with the command and the template of the deploy file. */
@@ -196,7 +209,13 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         folder.resolve(machine.name + ".log").toFile()));
         builder.environment().put("GYPSUMFLOW_CONFIG", settings.toString());
+        if (machine.collector != null) {
+            builder.redirectOutput(ProcessBuilder.Redirect.PIPE);
+        }
         machine.process = builder.start();
+        if (machine.collector != null) {
+            machine.collector.collect(machine.process.getInputStream(), folder.resolve(machine.name + ".log"));
+        }
         processes.add(machine.process);
         record("process " + machine.name + " started");
     }
@@ -267,11 +286,21 @@
         return request("POST", entry, id, body, deadlineMillis);
     }
 
+    /** Asks an entry for the number of jobs of a route that have not begun. */
+    CompletableFuture<Integer> get(Machine entry, String prefix) throws IOException {
+        return send("GET", entry, prefix, "", 1500);
+    }
+
     CompletableFuture<Integer> request(String method, Machine entry, String id, String body, long deadlineMillis)
             throws IOException {
+        return send(method, entry, PREFIX + id, body, deadlineMillis);
+    }
+
+    private CompletableFuture<Integer> send(
+            String method, Machine entry, String path, String body, long deadlineMillis) throws IOException {
         // A client of this library cannot set Host; a raw connection for each request can.
         CompletableFuture<Integer> status = new CompletableFuture<>();
-        record("client " + method + " " + id + " to " + entry.name);
+        record("client " + method + " " + path + " to " + entry.name);
         String ip = entry.ip;
         int port = entry.port("frontend");
         Thread thread = new Thread(() -> {
@@ -279,7 +308,7 @@
             try (java.net.Socket socket = new java.net.Socket()) {
                 socket.connect(new InetSocketAddress(ip, port), 1000);
                 socket.setSoTimeout((int) deadlineMillis);
-                String head = method + " " + PREFIX + id + " HTTP/1.1\r\nHost: " + HOST_NAME + "\r\nDeadline-Ms: "
+                String head = method + " " + path + " HTTP/1.1\r\nHost: " + HOST_NAME + "\r\nDeadline-Ms: "
                         + deadlineMillis + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                         + "\r\n\r\n";
                 socket.getOutputStream().write((head + body).getBytes());
@@ -289,7 +318,7 @@
             } catch (IOException noAnswer) {
                 result = 0;
             }
-            record("client " + method + " " + id + " to " + entry.name + " -> " + (result == 0 ? "no answer" : result));
+            record("client " + method + " " + path + " to " + entry.name + " -> " + (result == 0 ? "no answer" : result));
             status.complete(result);
         });
         thread.setDaemon(true);
