--- a/review/third/OrderProxy.java
+++ b/review/third/OrderProxy.java
@@ -22,6 +22,7 @@
     private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
     private volatile Predicate<byte[]> kept = request -> false;
     private volatile ServerSocket listener;
+    private volatile long lastRequestMillis;
 
     OrderProxy(InetSocketAddress address, InetSocketAddress server) {
         this.address = address;
@@ -33,6 +34,11 @@
         kept = picks;
     }
 
+    /** Returns when the last request was passed on. */
+    long lastRequestMillis() {
+        return lastRequestMillis;
+    }
+
     void listen() throws IOException {
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
@@ -99,6 +105,7 @@
                     while (client.getInputStream().read() >= 0) {}
                     return;
                 }
+                lastRequestMillis = System.currentTimeMillis();
                 upstream.getOutputStream().write(request);
                 upstream.getOutputStream().flush();
                 byte[] answer = read(upstream.getInputStream());
--- a/review/third/ReviewDeployment.java
+++ b/review/third/ReviewDeployment.java
@@ -166,6 +166,7 @@
         for (int number = 1; number <= agentCount; number++) {
             String zone = "z" + (1 + (number - 1) % entryCount);
             Machine machine = new Machine("side-" + zone + "-" + number, address(50 + number), zone, "agent");
+            machine.collector = new LogCollector();
             start(machine);
             workers.add(new Worker(machine));
         }
@@ -364,8 +365,10 @@
                 Interval first = intervals.get(one);
                 Interval second = intervals.get(other);
                 long overlap = Math.min(first.to(), second.to()) - Math.max(first.from(), second.from());
-                if (first.task().equals(second.task()) && overlap > 0) {
-                    overlaps.add(first.where() + " and " + second.where() + " ran together for " + overlap + " ms");
+                boolean startsInside = second.from() > first.from() && second.from() < first.to()
+                        || first.from() > second.from() && first.from() < second.to();
+                if (first.task().equals(second.task()) && startsInside) {
+                    overlaps.add(first.where() + " and " + second.where() + " ran together, for " + overlap + " ms");
                 }
             }
         }
