--- a/review/third/BlockedByLog.java
+++ b/review/third/BlockedByLog.java
@@ -8,8 +8,10 @@
 /** The collector of one entry's log does not read for some time. A route is added meanwhile. */
 public final class BlockedByLog {
     private static final long CONFIG_APPLY_MILLIS = 2000;
-    /** Time in which the usual traffic of the entry fills the pipe of its log. */
-    private static final long FILL_MILLIS = 12_000;
+    /** Longest time in which the usual traffic of the entry has to fill the pipe of its log. */
+    private static final long MAX_FILL_MILLIS = 30_000;
+    /** Time without a new line after which the pipe counts as full; the entry ends some tens of jobs a second. */
+    private static final long QUIET_MILLIS = 1500;
 
     private static final String ADDED_PREFIX = "/added/";
 
@@ -37,7 +39,7 @@
             first.collector.setBusy(true);
             deployment.record("the collector of the log of " + first.name + " does not read");
         }
-        TimeUnit.MILLISECONDS.sleep(FILL_MILLIS);
+        awaitFullPipe(first.collector, trouble);
         deployment.putRoutes(11, ADDED_PREFIX);
         long acknowledgedAt = System.currentTimeMillis();
         deployment.record("version 11, which adds " + ADDED_PREFIX + ", is acknowledged");
@@ -70,6 +72,24 @@
         return notFound == 0 ? 0 : 1;
     }
 
+    private static void awaitFullPipe(LogCollector collector, boolean trouble) throws InterruptedException {
+        long startedAt = System.currentTimeMillis();
+        long changedAt = startedAt;
+        int waiting = 0;
+        boolean full = false;
+        while (!full && System.currentTimeMillis() < startedAt + MAX_FILL_MILLIS) {
+            TimeUnit.MILLISECONDS.sleep(50);
+            if (collector.waiting() != waiting) {
+                waiting = collector.waiting();
+                changedAt = System.currentTimeMillis();
+            }
+            full = System.currentTimeMillis() > changedAt + QUIET_MILLIS;
+            if (!trouble) {
+                full = System.currentTimeMillis() > startedAt + MAX_FILL_MILLIS / 2;
+            }
+        }
+    }
+
     private static void send(
             ReviewDeployment deployment, AtomicBoolean traffic, List<CompletableFuture<Integer>> ofFirstEntry) {
         try {
