--- a/review/third/StartAfterBlockedLog.java
+++ b/review/third/StartAfterBlockedLog.java
@@ -48,10 +48,10 @@
 
     private int play(boolean trouble) throws Exception {
         // The kinds of jobs of the sheet, for seven workers, and the longest kind alone while the pipe takes its last lines.
-        sendEvery(60, 8, 86, usualJobs::get);
-        sendEvery(20, 2, 286, usualJobs::get);
-        sendEvery(330, 4, 1286, usualJobs::get);
-        sendEvery(65, 4, 1287, longJobs::get);
+        sendEvery(180, 8, 86, usualJobs::get);
+        sendEvery(60, 2, 286, usualJobs::get);
+        sendEvery(990, 4, 1286, usualJobs::get);
+        sendEvery(195, 4, 1287, longJobs::get);
         TimeUnit.SECONDS.sleep(3);
         ReviewDeployment.Worker worker = deployment.workers.get(0);
         long startedNanos = System.nanoTime();
@@ -108,9 +108,12 @@
                     if (!wanted.getAsBoolean()) {
                         continue;
                     }
-                    String id = String.format("%08x%08x", workMillis, job);
-                    int first = job % 3;
-                    clients.execute(() -> sendUntilDone(id, first, tasks, workMillis));
+                    // One client of each zone sends at the same moment.
+                    for (int first = 0; first < 3; first++) {
+                        String id = String.format("%08x%07x%d", workMillis, job, first);
+                        int entry = first;
+                        clients.execute(() -> sendUntilDone(id, entry, tasks, workMillis));
+                    }
                 }
             } catch (InterruptedException ended) {
                 Thread.currentThread().interrupt();
