Look for a pause again right before an agent starts a task

Cause: an agent looks for a pause and for lost contacts before each action of its executor, not between a decision and the call that follows from it. In between it writes a log line for each run that has ended. The call asked for a fresh lease by a clock that was read after the delay.

Why this works: the checks are repeated immediately before each start, each copy of a start and each renewal. A delay after that is bounded by the worker: the end of the lease that a call asks for is fixed before it, and a worker rejects a start whose lease has ended. The checks no longer execute what they decide on, so that they can run within an action; whoever asked for them does.

--- a/src/main/java/org/gypsumflow/command/AgentScheduler.java
+++ b/src/main/java/org/gypsumflow/command/AgentScheduler.java
@@ -238,6 +238,19 @@
         return tracked != null && tracked.status == Status.STOPPING;
     }
 
+    /**
+     * Returns the entry that assigned a task whose run is being started.
+     *
+     * @param task id of the task
+     * @param runNumber run number under which the worker knows the run
+     * @return the entry, or empty if the run was stopped or has ended since the decision to start it
+     */
+    public Optional<MemberName> ownerOfStartingRun(BestEffortTaskId task, RunNumber runNumber) {
+        return Optional.ofNullable(findRun(task, runNumber))
+                .filter(tracked -> tracked.status == Status.STARTING)
+                .map(tracked -> tracked.owner);
+    }
+
     /**
      * Sets whether the worker responds to calls; an unresponsive worker gets no tasks, and its waiting ones go back.
      *
--- a/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
+++ b/src/main/java/org/gypsumflow/traffic/BestEffortAgent.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -138,8 +139,8 @@
         this.scheduler = features.interferenceAvoidance()
                 ? AgentScheduler.create(NeighbourTracker.create())
                 : AgentScheduler.create();
-        this.confirmationExecutor = new CheckingExecutor(executor, this::detectPause);
-        this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesWithoutContact);
+        this.confirmationExecutor = new CheckingExecutor(executor, this::detectPauseAndExecuteActions);
+        this.executor = new CheckingExecutor(confirmationExecutor, this::dropEntriesAndExecuteActions);
         this.time = time;
         this.events = events;
         this.routingState = routingState;
@@ -152,8 +153,8 @@
                 events,
                 features,
                 counter,
-                this::assignmentFinished,
-                this::reportResults);
+                new WorkerSession.Callbacks(
+                        this::assignmentFinished, this::reportResults, this::checkContacts, this::hasConfirmedContact));
     }
 
     /**
@@ -310,7 +311,10 @@
 
     @Override
     public void memberDisconnected(Member member, long lastMessageNanos) {
-        executor.execute(() -> removeEntry(member.name(), "connection lost"));
+        executor.execute(() -> {
+            removeEntry(member.name(), "connection lost");
+            workerSession.executeActions();
+        });
     }
 
     private void removeEntry(MemberName name, String reason) {
@@ -352,17 +356,31 @@
             events.write(Event.ENTRY_ASSIGNMENTS_DROPPED, stoppedTasks, name, reason);
             counter.increment("entries_dropped", reason.replace(' ', '_'));
         }
-        workerSession.executeActions();
     }
 
-    /** Stops the tasks of entries that may not have received anything for too long, whatever they send. */
-    private void dropEntriesWithoutContact() {
+    /** Checks again what is checked before each action, for one that may have been held up since. */
+    private void checkContacts() {
+        detectPause();
+        dropEntriesWithoutContact();
+    }
+
+    private void dropEntriesAndExecuteActions() {
+        if (dropEntriesWithoutContact()) {
+            workerSession.executeActions();
+        }
+    }
+
+    /**
+     * Decides to stop the tasks of entries that may not have received anything for too long, whatever they send. Returns
+     * whether there were any.
+     */
+    private boolean dropEntriesWithoutContact() {
         long limitNanos = time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos();
-        dropEntries(entry -> !entry.isConfirmedSince(limitNanos));
+        return dropEntries(entry -> !entry.isConfirmedSince(limitNanos));
     }
 
     /** Drops those of the entries that ever confirmed contact; the others have no tasks here. */
-    private void dropEntries(Predicate<ConnectedEntry> which) {
+    private boolean dropEntries(Predicate<ConnectedEntry> which) {
         List<MemberName> dropped = entries.entrySet().stream()
                 .filter(entry -> entry.getValue().wasConfirmed() && which.test(entry.getValue()))
                 .map(Map.Entry::getKey)
@@ -371,6 +389,7 @@
             entries.get(name).connection.close();
             removeEntry(name, "no confirmed contact");
         });
+        return !dropped.isEmpty();
     }
 
     @Override
@@ -414,6 +433,11 @@
                 .toList();
     }
 
+    private boolean hasConfirmedContact(MemberName name) {
+        ConnectedEntry entry = entries.get(name);
+        return entry != null && hasConfirmedContact(entry);
+    }
+
     /** Returns whether the entry certainly received a heartbeat recently, and since the last pause of this process. */
     private boolean hasConfirmedContact(ConnectedEntry entry) {
         return entry.isConfirmedSince(time.nanoTime() - BestEffortTimings.CONFIRMED_CONTACT_LIMIT.toNanos())
@@ -458,17 +482,25 @@
                 status.meanRunDuration().toMillis());
     }
 
-    private void detectPause() {
-        pauseDetector.detect().map(Pause::duration).ifPresent(pause -> {
-            events.write(Event.PROCESS_PAUSED, pause.toMillis());
+    private void detectPauseAndExecuteActions() {
+        if (detectPause()) {
+            workerSession.executeActions();
+        }
+    }
+
+    /** Decides what to return and to stop after a pause of this process. Returns whether there was one. */
+    private boolean detectPause() {
+        Optional<Duration> pause = pauseDetector.detect().map(Pause::duration);
+        pause.ifPresent(duration -> {
+            events.write(Event.PROCESS_PAUSED, duration.toMillis());
             lastPauseNanos = OptionalLong.of(time.nanoTime());
             scheduler.processPaused(time.nanoTime());
             // The monotonic clock may have stood still, so that a contact from before the pause looks recent.
-            if (pause.compareTo(BestEffortTimings.CONFIRMED_CONTACT_LIMIT) > 0) {
+            if (duration.compareTo(BestEffortTimings.CONFIRMED_CONTACT_LIMIT) > 0) {
                 dropEntries(entry -> true);
             }
-            workerSession.executeActions();
         });
+        return pause.isPresent();
     }
 
     private void reportResults() {
--- a/src/main/java/org/gypsumflow/traffic/RecoveringWorkerClient.java
+++ b/src/main/java/org/gypsumflow/traffic/RecoveringWorkerClient.java
@@ -42,6 +42,13 @@
 final class RecoveringWorkerClient implements WorkerClient {
     private record Run(BestEffortTaskId task, RunNumber number) {}
 
+    /** Requests the lease of another copy of a start. */
+    @FunctionalInterface
+    interface RepeatedStartLease {
+        /** Returns the end of the lease by the worker's clock in milliseconds, or empty if the run must not start. */
+        OptionalLong request(BestEffortTaskId task, RunNumber number);
+    }
+
     /** A call and its copies. */
     private final class Call<T> {
         private final PendingCall state;
@@ -158,7 +165,7 @@
     private final SerialExecutor executor;
     private final TimeSource time;
     private final WorkerClient client;
-    private final Supplier<OptionalLong> leaseOfRepeatedStart;
+    private final RepeatedStartLease leaseOfRepeatedStart;
     private final EventLog events;
     private final DecisionCounter counter;
     private final CallRecovery recovery = CallRecovery.create();
@@ -169,7 +176,7 @@
             SerialExecutor executor,
             TimeSource time,
             WorkerClient client,
-            Supplier<OptionalLong> leaseOfRepeatedStart,
+            RepeatedStartLease leaseOfRepeatedStart,
             EventLog events,
             DecisionCounter counter) {
         this.executor = executor;
@@ -184,14 +191,13 @@
      * Creates a client without pending calls.
      *
      * @param client sends each copy of a call
-     * @param leaseOfRepeatedStart requests a lease for another copy of a start, and returns its end by the worker's clock
-     *     in milliseconds, or empty if the lease must not be extended
+     * @param leaseOfRepeatedStart requests the lease of another copy of a start
      */
     static RecoveringWorkerClient create(
             SerialExecutor executor,
             TimeSource time,
             WorkerClient client,
-            Supplier<OptionalLong> leaseOfRepeatedStart,
+            RepeatedStartLease leaseOfRepeatedStart,
             EventLog events,
             DecisionCounter counter) {
         return new RecoveringWorkerClient(executor, time, client, leaseOfRepeatedStart, events, counter);
@@ -210,7 +216,7 @@
                 recovery.sent(CallKind.START, Duration.ZERO, time.nanoTime()),
                 "the start of task " + task + " run " + number.value(),
                 () -> {
-                    OptionalLong lease = leaseOfRepeatedStart.get();
+                    OptionalLong lease = leaseOfRepeatedStart.request(task, number);
                     return lease.isEmpty()
                             ? null
                             : client.start(task, number, specification, lease.getAsLong(), fencingToken);
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.gypsumflow.command.AgentScheduler;
 import org.gypsumflow.command.AgentScheduler.Actions;
 import org.gypsumflow.command.AgentScheduler.FinishedAssignment;
@@ -20,6 +21,8 @@
 import org.gypsumflow.model.BestEffortTaskId;
 import org.gypsumflow.model.Event;
 import org.gypsumflow.model.EventLog;
+import org.gypsumflow.model.MemberName;
+import org.gypsumflow.model.RunNumber;
 import org.gypsumflow.model.WorkerProtocol.FinishedTask;
 import org.gypsumflow.model.WorkerProtocol.LeaseRenewal;
 import org.gypsumflow.model.WorkerProtocol.RunningTask;
@@ -54,8 +57,7 @@
     private final Optional<RecoveringWorkerClient> recoveringClient;
     private final EventLog events;
     private final DecisionCounter counter;
-    private final Consumer<FinishedAssignment> resultListener;
-    private final Runnable afterResults;
+    private final Callbacks callbacks;
 
     private long fencingToken;
     private long workerStartedAtMillis;
@@ -68,13 +70,27 @@
     private long lastResponseNanos;
 
     /**
-     * Creates a session without a worker.
+     * Callbacks to the agent.
      *
-     * @param features tells whether calls without a response are sent again
-     * @param counter counts such calls
      * @param resultListener receives each finished assignment
      * @param afterResults runs after all results known at that time were passed on, so that they can be reported
      *     together
+     * @param contactCheck looks for a pause of this process and for lost contacts, and has the scheduler stop the tasks of
+     *     the entries concerned
+     * @param hasContact tells whether the contact to an entry is confirmed, which it has to be when a task of it starts
+     */
+    record Callbacks(
+            Consumer<FinishedAssignment> resultListener,
+            Runnable afterResults,
+            Runnable contactCheck,
+            Predicate<MemberName> hasContact) {}
+
+    /**
+     * Creates a session without a worker.
+     *
+     * @param features tells whether calls without a response are sent again
+     * @param counter counts such calls
+     * @param callbacks callbacks to the agent
      */
     WorkerSession(
             SerialExecutor executor,
@@ -84,8 +100,7 @@
             EventLog events,
             DispatchFeatures features,
             DecisionCounter counter,
-            Consumer<FinishedAssignment> resultListener,
-            Runnable afterResults) {
+            Callbacks callbacks) {
         this.executor = executor;
         this.time = time;
         this.scheduler = scheduler;
@@ -97,8 +112,7 @@
                 recoveringClient.<WorkerClient>map(recovering -> recovering).orElse(client);
         this.counter = counter;
         this.events = events;
-        this.resultListener = resultListener;
-        this.afterResults = afterResults;
+        this.callbacks = callbacks;
         this.fencingToken = time.currentTimeMillis();
     }
 
@@ -148,16 +162,16 @@
         scheduler.setStartsAllowed(firstListingDue || mayExtendLease(time.nanoTime()), time.nanoTime());
         Actions actions = scheduler.drainActions();
         while (!actions.isEmpty()) {
-            actions.finishedAssignments().forEach(resultListener);
+            actions.finishedAssignments().forEach(callbacks.resultListener());
             actions.runsToStop().forEach(this::stop);
             actions.runsToStart().forEach(this::start);
             actions = scheduler.drainActions();
         }
-        afterResults.run();
+        callbacks.afterResults().run();
     }
 
     private void start(TaskRun run) {
-        if (!mayExtendLease(time.nanoTime())) {
+        if (!mayStart(run.task(), run.number())) {
             renewalDue = true;
             scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
             return;
@@ -176,6 +190,19 @@
                 }));
     }
 
+    /**
+     * Returns whether a run may start now. This process may have been held up since the scheduler decided on the start, so
+     * that the entry that assigned the task may have assigned it elsewhere meanwhile.
+     */
+    private boolean mayStart(BestEffortTaskId task, RunNumber number) {
+        callbacks.contactCheck().run();
+        return scheduler
+                        .ownerOfStartingRun(task, number)
+                        .filter(callbacks.hasContact())
+                        .isPresent()
+                && mayExtendLease(time.nanoTime());
+    }
+
     private void startCompleted(TaskRun run, long token, StartResponse response) {
         responseReceived(response.clockMillis());
         switch (response.status()) {
@@ -214,9 +241,8 @@
     }
 
     /** Requests the lease of another copy of a start, which may reach the worker after the first one's lease has ended. */
-    private OptionalLong leaseOfRepeatedStart() {
-        long now = time.nanoTime();
-        return mayExtendLease(now) ? OptionalLong.of(lease.request(now)) : OptionalLong.empty();
+    private OptionalLong leaseOfRepeatedStart(BestEffortTaskId task, RunNumber number) {
+        return mayStart(task, number) ? OptionalLong.of(lease.request(time.nanoTime())) : OptionalLong.empty();
     }
 
     private void stop(TaskRun run) {
@@ -251,10 +277,13 @@
 
     private void renew() {
         expireLease();
-        renewalDue |= lease.isClockKnown() && !lease.canRequest(time.nanoTime());
-        if (renewalPending
-                || workerStartedAtMillis == 0
-                || (scheduler.activeRunCount() == 0 && !renewalDue && !unresponsive)) {
+        if (!isRenewalDue()) {
+            return;
+        }
+        // This process may have been held up since the last check.
+        callbacks.contactCheck().run();
+        applyDecisions();
+        if (!isRenewalDue()) {
             return;
         }
         renewalPending = true;
@@ -273,6 +302,13 @@
                 (listing, failure) -> renewalCompleted(startedAtMillis, renewal, requestedNanos, listing, failure));
     }
 
+    private boolean isRenewalDue() {
+        renewalDue |= lease.isClockKnown() && !lease.canRequest(time.nanoTime());
+        return !renewalPending
+                && workerStartedAtMillis != 0
+                && (scheduler.activeRunCount() > 0 || renewalDue || unresponsive);
+    }
+
     private void renewalCompleted(
             long startedAtMillis, LeaseRenewal renewal, long requestedNanos, TaskListing listing, Throwable failure) {
         renewalPending = false;
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -110,10 +110,13 @@
     private RecordingConnection entry;
     private BestEffortAgent agent;
     private boolean entryEchoesHeartbeats;
+    /** Time for which each log line about the end of a task holds up its writer. */
+    private long logDelayMillis;
 
     @BeforeMethod
     public void startAnAgentWithAWorkerAndAnEntry() {
         events.clear();
+        logDelayMillis = 0;
         executor = new ManualExecutor();
         worker = new ManualWorker();
         entry = RecordingConnection.create();
@@ -122,7 +125,7 @@
                 executor.timeSource(),
                 worker,
                 RoutingStateCache.create((event, details) -> {}),
-                (event, details) -> events.add(event));
+                this::writeEvent);
         agent.start();
         entryEchoesHeartbeats = true;
         agent.memberConnected(ENTRY_MEMBER, entry);
@@ -138,6 +141,13 @@
         executor.advance(200);
     }
 
+    private void writeEvent(Event event, Object... details) {
+        events.add(event);
+        if (event == Event.TASK_ENDED) {
+            executor.advanceClockOnly(logDelayMillis);
+        }
+    }
+
     private void confirmContact() {
         agent.contactConfirmed(ENTRY, executor.timeSource().nanoTime());
     }
@@ -440,6 +450,45 @@
         assertTrue(reportedOutcomes().contains(RunOutcome.NOT_STARTED));
     }
 
+    // Guards against two runs of one task: an agent that was held up by its log after it had decided on a start made
+    // the
+    // call seconds later, while the task ran elsewhere.
+    @Test
+    public void aTaskDoesNotStartWhenTheAgentWasHeldUpSinceItDecidedOnTheStart() {
+        assignTask(TASK);
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 1));
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 2));
+        int startedBefore = worker.started.size();
+        logDelayMillis = 3200;
+        worker.completeRenewal(new FinishedTask(1, TASK, RunNumber.FIRST, RunOutcome.DONE));
+        assertEquals(worker.started.size(), startedBefore);
+    }
+
+    // Guards against two runs of one task: as above, for a delay after which the contact to the entry is still kept.
+    @Test
+    public void aTaskGoesBackWhenTheAgentWasHeldUpBrieflySinceItDecidedOnTheStart() {
+        assignTask(TASK);
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 1));
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 2));
+        confirmContact();
+        int startedBefore = worker.started.size();
+        logDelayMillis = BestEffortTimings.PAUSE_THRESHOLD.toMillis() + 50;
+        worker.completeRenewal(new FinishedTask(1, TASK, RunNumber.FIRST, RunOutcome.DONE));
+        assertEquals(worker.started.size(), startedBefore);
+        assertEquals(reportedOutcomes(), List.of(RunOutcome.DONE, RunOutcome.NOT_STARTED));
+    }
+
+    // Guards against two runs of one task: an agent that was held up before a renewal extended the lease of a run whose
+    // entry it had lost meanwhile.
+    @Test
+    public void theLeaseIsNotExtendedWhenTheAgentWasHeldUpBeforeTheRenewal() {
+        assignTask(TASK);
+        assignTask(BestEffortTaskId.of(OTHER_JOB, 1));
+        logDelayMillis = 3200;
+        worker.completeRenewal(new FinishedTask(1, TASK, RunNumber.FIRST, RunOutcome.DONE));
+        assertFalse(worker.lastRenewalExtendsLease());
+    }
+
     @Test
     public void entriesImmediatelyReceiveTheStatusOfANewWorker() {
         agent.workerLeft("worker", STARTED_AT_MILLIS);
--- a/src/test/java/org/gypsumflow/traffic/RecoveringWorkerClientTest.java
+++ b/src/test/java/org/gypsumflow/traffic/RecoveringWorkerClientTest.java
@@ -76,7 +76,7 @@
                 executor,
                 executor.timeSource(),
                 worker,
-                () -> nextLease,
+                (task, number) -> nextLease,
                 (event, details) -> {},
                 DecisionCounter.none());
     }
