Let no thread wait for the reader of the log

Cause: each line was written by the thread that had something to say, with a call that waits while the pipe is full. The traffic thread hung at the line of an ended job, the control thread at the line of the new routes, which it wrote before it applied them.

UnreadLogTest on the code before: whoeverWritesLinesDoesNotWaitForTheReader- OfTheLog and aDaemonStopsWhenItIsToldToAlthoughNobodyReadsItsLog "expected [true] but found [false]", as neither process ended within 30 s.

Why this works: lines go into a bounded buffer, and only a thread that does nothing else waits for the reader. What does not fit is dropped, counted, and told by GF627 and a gauge. Lines of java.util.logging and stack traces of ending threads go the same way, and the end of the process awaits the last lines for 300 ms at most. Routes are applied before their line is written.

--- a/src/main/java/org/gypsumflow/control/RoutingStateCache.java
+++ b/src/main/java/org/gypsumflow/control/RoutingStateCache.java
@@ -113,8 +113,12 @@
         if (!newerTable && !newerClosedZones) {
             return false;
         }
-        boolean changed = newerTable
-                || !candidate.closedZones().zones().equals(current.closedZones().zones());
+        ShareRoutingState previous = current;
+        current = new ShareRoutingState(
+                newerTable ? candidate.table() : previous.table(),
+                newerClosedZones ? candidate.closedZones() : previous.closedZones());
+        boolean zonesChanged =
+                !current.closedZones().zones().equals(previous.closedZones().zones());
         if (newerTable) {
             events.write(
                     Event.ROUTES_APPLIED,
@@ -122,17 +126,13 @@
                     candidate.table().routes().size(),
                     source);
         }
-        if (newerClosedZones
-                && !candidate.closedZones().zones().equals(current.closedZones().zones())) {
+        if (zonesChanged) {
             events.write(
                     Event.CLOSED_ZONES_APPLIED,
                     candidate.closedZones().zones(),
                     candidate.closedZones().asOfOffset(),
                     source);
         }
-        current = new ShareRoutingState(
-                newerTable ? candidate.table() : current.table(),
-                newerClosedZones ? candidate.closedZones() : current.closedZones());
-        return changed;
+        return newerTable || zonesChanged;
     }
 }
--- a/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
+++ b/src/main/java/org/gypsumflow/daemon/BestEffortDaemon.java
@@ -63,6 +63,7 @@
     BestEffortDaemon(BestEffortSettings settings, InetSocketAddress httpAddress) {
         this.settings = settings;
         this.gracePeriod = settings.gracePeriod();
+        metrics.addGauge("log.lines.dropped", BufferedConsoleWriter::droppedLines);
         this.transport = NettyTransport.create("netty", 1, events);
         this.controlExecutor = createExecutor("control");
         this.trafficExecutor = SingleThreadExecutor.on(transport.thread(), "traffic", events);
--- a/src/main/java/org/gypsumflow/daemon/Main.java
+++ b/src/main/java/org/gypsumflow/daemon/Main.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.tinylog.jul.JulTinylogBridge;
 
 /** Starts the daemon from the command line. */
 public final class Main {
@@ -44,7 +45,9 @@
      * @param arguments command-line options
      */
     public static void main(String[] arguments) {
-        System.exit(new Main().run(arguments));
+        int exitCode = new Main().run(arguments);
+        BufferedConsoleWriter.flushLog();
+        System.exit(exitCode);
     }
 
     /**
@@ -58,6 +61,8 @@
     }
 
     private int run(String[] arguments) {
+        // The default handler of java.util.logging waits for the reader of the standard error.
+        JulTinylogBridge.activate();
         CmdLineParser parser = new CmdLineParser(this);
         try {
             parser.parseArgument(arguments);
@@ -124,6 +129,8 @@
             new TinylogEventLog().write(Event.BAD_SETTING, failure);
             return EXIT_START_FAILED;
         }
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) ->
+                daemon.events().write(Event.INTERNAL_ERROR, "thread " + thread.getName(), failure));
         SighupHandler.install(() -> reload(daemon));
         watchSettingsFile(daemon);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -131,6 +138,7 @@
                 .addShutdownHook(new Thread(
                         () -> {
                             daemon.shutdown();
+                            BufferedConsoleWriter.flushLog();
                             stopped.countDown();
                         },
                         "leave"));
--- a/src/main/java/org/gypsumflow/daemon/TinylogEventLog.java
+++ b/src/main/java/org/gypsumflow/daemon/TinylogEventLog.java
@@ -57,7 +57,8 @@
         return droppedBefore;
     }
 
-    private static void print(Event event, Object... details) {
+    /** Writes an event whatever the rate of its lines. */
+    static void print(Event event, Object... details) {
         String text = "GF" + event.number() + " " + event.template();
         switch (event.level()) {
             case INFO -> Logger.info(text, details);
--- a/src/main/java/org/gypsumflow/model/Event.java
+++ b/src/main/java/org/gypsumflow/model/Event.java
@@ -135,6 +135,8 @@
                     + " mean run duration {} ms"),
     /** Log lines were dropped to limit their rate. */
     LOG_LINES_DROPPED(616, Level.WARN, "dropped {} lines of event GF{} in the last second"),
+    /** Log lines were dropped because the standard output took no more; written once it does again. */
+    LOG_NOT_READ(627, Level.WARN, "dropped {} log lines, as nobody read the log"),
     /** The settings file was read again; the text says whether the settings were applied. */
     SETTINGS_RELOADED(614, Level.INFO, "settings file read again: {}"),
     /** A daemon has started; the text tells which parts of the dispatcher its settings switch on. */
