Let no thread wait for a client that reads no response

What callers saw: a client that sent three requests on one connection and read none of the large responses held up all other requests to that process for over 20 s, and would have held up its calls to the store and the worker, which share the thread.

Cause: the HTTP server limits what may wait to be sent on a connection, and then lets the thread that has the next response wait for the client. That is the HTTP thread, or the traffic thread that completes a job.

Why this works: responses wait in the queue of their connection without that limit. A client that has left more than 4 MB unread gets no further response; its connection is closed, as no thread must wait and memory is bounded.

--- a/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
+++ b/src/main/java/org/gypsumflow/http/GrizzlyHttpServer.java
@@ -20,6 +20,7 @@
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.asyncqueue.AsyncQueueWriter;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -42,12 +43,15 @@
 
 /**
  * HTTP server on Grizzly that dispatches requests to handlers by method and path prefix, limits the size of bodies, and
- * writes the responses of asynchronous handlers.
+ * writes the responses of asynchronous handlers without waiting for the client to read them.
  */
 public final class GrizzlyHttpServer implements AutoCloseable {
     /** Maximum size of a request body, in bytes. */
     public static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+    /** Size of the responses to one client that wait until it reads them, from which on it gets no further one. */
+    private static final int MAX_UNREAD_BYTES = 4 * 1024 * 1024;
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int SHUTDOWN_TIMEOUT_SECONDS = 2;
     /** Time for a client to read the response on a connection that is closed while it is still sending. */
@@ -172,6 +176,11 @@
         this.listener = new NetworkListener("http", host, port);
         listener.getTransport().setSelectorRunnersCount(threads);
         listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        // Otherwise the writer of a response waits for the client to read the ones before.
+        listener.getTransport()
+                .getAsyncQueueIO()
+                .getWriter()
+                .setMaxPendingBytesPerConnection(AsyncQueueWriter.UNLIMITED_SIZE);
         listener.getFileCache().setEnabled(false);
         listener.registerAddOn((networkListener, chain) ->
                 chain.add(chain.indexOfType(HttpServerFilter.class), WholeBodyFilter.create(MAX_BODY_BYTES)));
@@ -502,6 +511,12 @@
     }
 
     private void write(Response response, ServerResponse serverResponse) {
+        NIOConnection connection =
+                (NIOConnection) response.getRequest().getContext().getConnection();
+        if (connection.getAsyncWriteQueue().spaceInBytes() > MAX_UNREAD_BYTES) {
+            connection.closeSilently();
+            return;
+        }
         try {
             response.setStatus(serverResponse.status());
             serverResponse.headers().forEach(response::setHeader);
--- a/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
+++ b/src/test/java/org/gypsumflow/http/GrizzlyHttpServerTest.java
@@ -9,6 +9,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -79,6 +80,28 @@
         assertEquals(response.status(), 413);
     }
 
+    // Guards against an entry that serves nobody: its HTTP thread waited for a client that sent further requests and
+    // read no response, and with it all other requests and the calls of the entry to the store.
+    @Test
+    public void aClientThatReadsNoResponseDoesNotHoldUpTheOthers() throws IOException {
+        server.addHandler(
+                "GET",
+                "/large",
+                request -> CompletableFuture.completedFuture(ServerResponse.text(200, "x".repeat(8_000_000))));
+        try (Socket unread = new Socket()) {
+            unread.setReceiveBufferSize(4096);
+            unread.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            String requests = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n".repeat(3);
+            unread.getOutputStream().write(requests.getBytes(StandardCharsets.UTF_8));
+            unread.getOutputStream().flush();
+            assertTrue(unread.getInputStream().read() > 0);
+            ClientResponse response = httpClient
+                    .post("http://127.0.0.1:" + port + "/length", Map.of(), new byte[7], TIMEOUT)
+                    .join();
+            assertEquals(response.status(), 200);
+        }
+    }
+
     @Test(timeOut = 60_000)
     public void aBodyInChunksIsReadWhole() throws IOException {
         assertTrue(answerToChunks(20).endsWith("\r\n" + 20 * CHUNK_BYTES));
