Count the lease of a start from before its check

The clock is now read before the check. A delay before the reading is noticed by the check, one after it makes the lease end earlier, and the worker rejects a start whose lease has ended. The lease counts from the latest of the requested times.

BestEffortAgentTest#aDelayAfterAnyReadingOfTheClockPreventsTheStartOrEndsIts- LeaseBeforeTheCall delays the process by 5 s after each of the first 40 readings of its clock in turn.

--- a/src/main/java/org/gypsumflow/command/WorkerLease.java
+++ b/src/main/java/org/gypsumflow/command/WorkerLease.java
@@ -97,15 +97,17 @@
     }
 
     /**
-     * Records that a request for a lease of {@link BestEffortTimings#LEASE_DURATION} is sent now.
+     * Records that a request for a lease of {@link BestEffortTimings#LEASE_DURATION} from a given time is sent.
      *
-     * @param nowNanos current monotonic time
+     * @param fromNanos monotonic time from which the lease counts, not after the current time
      * @return end of the lease to request, in milliseconds of the worker's clock
      */
-    public long request(long nowNanos) {
-        requested = true;
-        lastRequestNanos = nowNanos;
-        return lowestClockMillis(nowNanos) + BestEffortTimings.LEASE_DURATION.toMillis();
+    public long request(long fromNanos) {
+        if (!requested || fromNanos - lastRequestNanos > 0) {
+            requested = true;
+            lastRequestNanos = fromNanos;
+        }
+        return lowestClockMillis(fromNanos) + BestEffortTimings.LEASE_DURATION.toMillis();
     }
 
     /**
--- a/src/main/java/org/gypsumflow/traffic/WorkerSession.java
+++ b/src/main/java/org/gypsumflow/traffic/WorkerSession.java
@@ -171,6 +171,8 @@
     }
 
     private void start(TaskRun run) {
+        // Read before the check: a delay after it shortens the lease, so that the worker rejects the start.
+        long requestedNanos = time.nanoTime();
         if (!mayStart(run.task(), run.number())) {
             renewalDue = true;
             scheduler.startRejected(run.task(), run.number(), false, false, time.nanoTime());
@@ -178,7 +180,6 @@
         }
         long startedAtMillis = workerStartedAtMillis;
         long token = fencingToken;
-        long requestedNanos = time.nanoTime();
         executor.whenDone(
                 client.start(run.task(), run.number(), run.specification(), lease.request(requestedNanos), token),
                 (response, failure) -> runIfSameIncarnation(startedAtMillis, () -> {
@@ -242,7 +243,8 @@
 
     /** Requests the lease of another copy of a start, which may reach the worker after the first one's lease has ended. */
     private OptionalLong leaseOfRepeatedStart(BestEffortTaskId task, RunNumber number) {
-        return mayStart(task, number) ? OptionalLong.of(lease.request(time.nanoTime())) : OptionalLong.empty();
+        long requestedNanos = time.nanoTime();
+        return mayStart(task, number) ? OptionalLong.of(lease.request(requestedNanos)) : OptionalLong.empty();
     }
 
     private void stop(TaskRun run) {
@@ -280,7 +282,8 @@
         if (!isRenewalDue()) {
             return;
         }
-        // This process may have been held up since the last check.
+        // Read before the check, as for a start. This process may have been held up since the check before this action.
+        long requestedNanos = time.nanoTime();
         callbacks.contactCheck().run();
         applyDecisions();
         if (!isRenewalDue()) {
@@ -288,8 +291,7 @@
         }
         renewalPending = true;
         long startedAtMillis = workerStartedAtMillis;
-        long requestedNanos = time.nanoTime();
-        boolean extendsLease = mayExtendLease(requestedNanos);
+        boolean extendsLease = mayExtendLease(time.nanoTime());
         boolean mayWait = lease.isClockKnown() && !unresponsive && scheduler.activeRunCount() > 0;
         LeaseRenewal renewal = new LeaseRenewal(
                 fencingToken,
--- a/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
+++ b/src/test/java/org/gypsumflow/traffic/BestEffortAgentTest.java
@@ -13,6 +13,7 @@
 import org.gypsumflow.command.BestEffortTimings;
 import org.gypsumflow.control.ManualExecutor;
 import org.gypsumflow.control.RoutingStateCache;
+import org.gypsumflow.control.TimeSource;
 import org.gypsumflow.model.AvailabilityZone;
 import org.gypsumflow.model.BestEffortMessage.AbandonJob;
 import org.gypsumflow.model.BestEffortMessage.AgentReport;
@@ -51,6 +52,7 @@
     private static final BestEffortTaskId TASK = BestEffortTaskId.of(JobId.of("00000000000000aa"), 0);
     private static final JobId OTHER_JOB = JobId.of("00000000000000bb");
     private static final long STARTED_AT_MILLIS = 1;
+    private static final long CLOCK_DELAY_MILLIS = 5000;
 
     /** A worker that starts every task, unless its connections are closed, and lists its tasks when the test says so. */
     private static final class ManualWorker implements WorkerClient {
@@ -58,6 +60,7 @@
         private final List<BestEffortTaskId> stopped = new ArrayList<>();
         private CompletableFuture<TaskListing> renewal = new CompletableFuture<>();
         private final List<Long> startTokens = new ArrayList<>();
+        private final List<Long> startLeases = new ArrayList<>();
         private final List<Long> stopTokens = new ArrayList<>();
         private final List<LeaseRenewal> renewals = new ArrayList<>();
         private boolean closesConnections;
@@ -69,6 +72,7 @@
                 BestEffortTaskId task, RunNumber run, String specification, long leaseUntilMillis, long fencingToken) {
             started.add(task);
             startTokens.add(fencingToken);
+            startLeases.add(leaseUntilMillis);
             return closesConnections
                     ? CompletableFuture.failedFuture(new IOException("the connection was closed"))
                     : startResponse;
@@ -110,6 +114,9 @@
     private RecordingConnection entry;
     private BestEffortAgent agent;
     private boolean entryEchoesHeartbeats;
+    /** Clock readings after which the clock advances by {@link #CLOCK_DELAY_MILLIS}; negative for no delay. */
+    private int readingsUntilDelay;
+
     /** Time for which each log line about the end of a task holds up its writer. */
     private long logDelayMillis;
 
@@ -117,12 +124,13 @@
     public void startAnAgentWithAWorkerAndAnEntry() {
         events.clear();
         logDelayMillis = 0;
+        readingsUntilDelay = -1;
         executor = new ManualExecutor();
         worker = new ManualWorker();
         entry = RecordingConnection.create();
         agent = BestEffortAgent.create(
                 executor,
-                executor.timeSource(),
+                new TimeSource(this::readClock, executor.timeSource().epochMillis()),
                 worker,
                 RoutingStateCache.create((event, details) -> {}),
                 this::writeEvent);
@@ -141,6 +149,16 @@
         executor.advance(200);
     }
 
+    /** Reads the clock; the process may be held up right after that. */
+    private long readClock() {
+        long nanos = executor.timeSource().nanoTime();
+        if (readingsUntilDelay == 0) {
+            executor.advanceClockOnly(CLOCK_DELAY_MILLIS);
+        }
+        readingsUntilDelay--;
+        return nanos;
+    }
+
     private void writeEvent(Event event, Object... details) {
         events.add(event);
         if (event == Event.TASK_ENDED) {
@@ -478,6 +496,21 @@
         assertEquals(reportedOutcomes(), List.of(RunOutcome.DONE, RunOutcome.NOT_STARTED));
     }
 
+    // Guards against two runs of one task: as above, for a delay between any two steps up to the call. A worker rejects
+    // a
+    // start whose lease has ended.
+    @Test
+    public void aDelayAfterAnyReadingOfTheClockPreventsTheStartOrEndsItsLeaseBeforeTheCall() {
+        for (int readings = 0; readings < 40; readings++) {
+            startAnAgentWithAWorkerAndAnEntry();
+            readingsUntilDelay = readings;
+            assignTask();
+            for (long leaseUntilMillis : worker.startLeases) {
+                assertTrue(leaseUntilMillis <= CLOCK_DELAY_MILLIS, "after reading " + readings);
+            }
+        }
+    }
+
     // Guards against two runs of one task: an agent that was held up before a renewal extended the lease of a run whose
     // entry it had lost meanwhile.
     @Test
