Tell of dropped log lines once the buffer has room

The line that tells how many log lines were dropped was itself added while the buffer was still full of the lines before, and dropped with them, so that only the gauge told. It is added now when the thread has taken the waiting lines out and the buffer is empty.

LogBufferTest#theLineThatTellsTheNumberOfDroppedLinesIsNotDroppedItself on the code before: "expected [1] but found [2]" dropped lines.

--- a/src/main/java/org/gypsumflow/daemon/LogBuffer.java
+++ b/src/main/java/org/gypsumflow/daemon/LogBuffer.java
@@ -35,7 +35,7 @@
      * @param output where the lines are written; only that thread waits for its reader
      * @param capacityBytes maximum size of the lines that wait; as many may be under way to the output
      * @param collectionTime time after the first line before the waiting lines are written together
-     * @param dropListener called on the thread with the number of dropped lines, once the output takes lines again
+     * @param dropListener called on the thread with the number of dropped lines, once the buffer has room again
      * @return the buffer
      */
     static LogBuffer start(OutputStream output, int capacityBytes, Duration collectionTime, LongConsumer dropListener) {
@@ -114,10 +114,17 @@
 
     private void writeWaitingLines() {
         ByteArrayOutputStream lines;
+        long drops;
         synchronized (this) {
             lines = waiting;
             waiting = spare;
             writing = true;
+            drops = unreportedDrops;
+            unreportedDrops = 0;
+        }
+        // The buffer is empty now, so that it has room for a line about those that were dropped.
+        if (drops > 0) {
+            dropListener.accept(drops);
         }
         try {
             lines.writeTo(output);
@@ -126,16 +133,10 @@
             // There is nowhere left to report that the log cannot be written.
         }
         lines.reset();
-        long drops;
         synchronized (this) {
             spare = lines;
             writing = false;
-            drops = unreportedDrops;
-            unreportedDrops = 0;
             notifyAll();
         }
-        if (drops > 0) {
-            dropListener.accept(drops);
-        }
     }
 }
--- a/src/test/java/org/gypsumflow/daemon/LogBufferTest.java
+++ b/src/test/java/org/gypsumflow/daemon/LogBufferTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
 public final class LogBufferTest {
@@ -96,6 +97,22 @@
         assertTrue(reportedDrops.isEmpty());
     }
 
+    // Guards against dropped lines that nobody learns of: the line that tells their number found the buffer full.
+    @Test
+    public void theLineThatTellsTheNumberOfDroppedLinesIsNotDroppedItself() throws InterruptedException {
+        UnreadOutput output = new UnreadOutput();
+        AtomicReference<LogBuffer> buffer = new AtomicReference<>();
+        buffer.set(LogBuffer.start(
+                output, CAPACITY_BYTES, Duration.ZERO, drops -> buffer.get().add("dropped " + drops + "\n")));
+        blockWriter(buffer.get(), output);
+        buffer.get().add("x".repeat(CAPACITY_BYTES));
+        buffer.get().add(LINE);
+        output.read.countDown();
+        buffer.get().awaitWritten(LONG);
+        assertTrue(output.content.toString(StandardCharsets.UTF_8).endsWith("xdropped 1\n"));
+        assertEquals(buffer.get().droppedLines(), 1);
+    }
+
     // Guards against a process that does not stop while nobody reads its log.
     @Test
     public void theLastLinesAreAwaitedForABoundedTimeOnly() throws InterruptedException {
